--- /dev/null
+++ b/cmd/gypsumctl/main.go
@@ -0,0 +1,4 @@
+// Command gypsumctl is the operators' client.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/gypsumd/main.go
@@ -0,0 +1,4 @@
+// Command gypsumd is the node daemon that runs beside each target instance.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/boundary/boundary_test.go
@@ -0,0 +1,99 @@
+package boundary
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// TestDecisionPackagesStayPure reads the source of every decision package and
+// reports each import, call and statement that the boundary forbids.
+func TestDecisionPackagesStayPure(t *testing.T) {
+	checked := 0
+	for _, dir := range DecisionPackages {
+		files, err := filepath.Glob(filepath.Join("..", "..", dir, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			source, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			checked++
+			for _, finding := range findings(t, file, source) {
+				t.Error(finding)
+			}
+		}
+	}
+	if checked == 0 {
+		t.Fatal("no decision package has any source file")
+	}
+}
+
+// TestBoundaryCatchesViolations shows that the check fails on what it forbids.
+func TestBoundaryCatchesViolations(t *testing.T) {
+	for name, source := range map[string]string{
+		"import":    `package p; import "net/http"; var _ = http.StatusOK`,
+		"clock":     `package p; import "time"; var _ = time.Now()`,
+		"chance":    `package p; import "math/rand/v2"; var _ = rand.Uint64()`,
+		"goroutine": `package p; func f() { go f() }`,
+		"channel":   `package p; var c = make(chan int)`,
+	} {
+		if len(findings(t, name, []byte(source))) == 0 {
+			t.Errorf("%s: not reported", name)
+		}
+	}
+}
+
+func findings(t *testing.T, file string, source []byte) []string {
+	t.Helper()
+	files := token.NewFileSet()
+	tree, err := parser.ParseFile(files, file, source, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found []string
+	report := func(node ast.Node, what string) {
+		found = append(found, fmt.Sprintf("%s: %s", files.Position(node.Pos()), what))
+	}
+	for _, spec := range tree.Imports {
+		path, _ := strconv.Unquote(spec.Path.Value)
+		if forbiddenImport(path) {
+			report(spec, "import of "+path)
+		}
+	}
+	ast.Inspect(tree, func(node ast.Node) bool {
+		switch n := node.(type) {
+		case *ast.GoStmt:
+			report(n, "go statement")
+		case *ast.ChanType:
+			report(n, "channel")
+		case *ast.SelectorExpr:
+			if pkg, ok := n.X.(*ast.Ident); ok && slices.Contains(ForbiddenCalls[pkg.Name], n.Sel.Name) && pkg.Obj == nil {
+				report(n, "use of "+pkg.Name+"."+n.Sel.Name)
+			}
+		}
+		return true
+	})
+	return found
+}
+
+func forbiddenImport(path string) bool {
+	if slices.Contains(AllowedImports, path) {
+		return false
+	}
+	return slices.ContainsFunc(ForbiddenImports, func(forbidden string) bool {
+		return path == forbidden || strings.HasPrefix(path, forbidden+"/")
+	})
+}
