Add membership and rollout: who is in the fleet, which configuration is in force

First working version for the daemon to wire. Rollout keeps the version in force, the watchers of a failure domain and the pulls from peers.

--- /dev/null
+++ b/membership/base.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gypsumford/gypsumford/fleet"
+)
+
+// Base is the immutable part of a table: members in the order of their
+// references. A table holds what has changed since beside it and folds both into
+// a new one when much has. Tables of one process may share a Base.
+type Base struct {
+	records   []record // in the order of references
+	byAddress map[string]reference
+	byService map[string][]int32 // positions in records
+	sums      []uint32           // per leaf of the digest
+	live      int
+}
+
+// NewBase returns a Base of the given instances, each alive in its state.
+func NewBase(instances []fleet.Instance) *Base {
+	records := make([]record, 0, len(instances))
+	for _, instance := range instances {
+		records = append(records, recordOf(instance, 0))
+	}
+	return newBase(records)
+}
+
+func recordOf(instance fleet.Instance, started int64) record {
+	who := &identity{
+		ref:     referenceOf(instance.ID),
+		id:      instance.ID,
+		address: instance.PeerAddress,
+		domain:  instance.FailureDomain,
+		region:  instance.Region,
+		started: started,
+	}
+	return record{
+		who:         who,
+		service:     instance.Service,
+		slots:       uint32(max(0, instance.Slots)),
+		incarnation: instance.Incarnation,
+		announced:   min(instance.State, fleet.Draining),
+	}
+}
+
+func newBase(records []record) *Base {
+	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(a.who.ref, b.who.ref) })
+	b := &Base{
+		records:   records,
+		byAddress: make(map[string]reference, len(records)),
+		byService: make(map[string][]int32),
+		sums:      make([]uint32, leaves),
+	}
+	for i := range records {
+		r := &records[i]
+		b.sums[leafOf(r.who.ref)] += r.hash()
+		b.byService[r.service] = append(b.byService[r.service], int32(i))
+		if r.live() {
+			b.live++
+			b.byAddress[r.who.address] = r.who.ref
+		}
+	}
+	return b
+}
+
+func (b *Base) position(ref reference) (int, bool) {
+	return slices.BinarySearchFunc(b.records, ref, func(r record, ref reference) int {
+		return cmp.Compare(r.who.ref, ref)
+	})
+}
--- /dev/null
+++ b/rollout/config.go
@@ -0,0 +1,51 @@
+package rollout
+
+import "time"
+
+const (
+	pullRetry  = time.Second // after a pull that failed
+	maxPeers   = 32          // peers that are remembered as having a newer version
+	maxRefused = 256         // refused versions that are remembered
+)
+
+// Config holds what differs between fleets. A zero field takes its default.
+type Config struct {
+	// Watchers is the number of nodes of a failure domain that watch the platform;
+	// default 3.
+	Watchers int
+	// PullSpread is the longest time that a node waits before it pulls a version
+	// that it has heard of; default 200 ms.
+	PullSpread time.Duration
+	// PullTimeout is the time after which a pull without an answer counts as
+	// failed; default 3 s.
+	PullTimeout time.Duration
+	// ConcurrentPulls is the most pulls at a time; default 1.
+	ConcurrentPulls int
+	// StartupPeers is the number of peers whose answers make a new node ready while
+	// the platform doesn't answer; default 3. A fleet with fewer others needs all of them, see SetFleetSize.
+	StartupPeers int
+	// MaxDocumentBytes limits a document; default 1 MiB.
+	MaxDocumentBytes int
+}
+
+func (c Config) withDefaults() Config {
+	if c.Watchers <= 0 {
+		c.Watchers = 3
+	}
+	if c.PullSpread <= 0 {
+		c.PullSpread = 200 * time.Millisecond
+	}
+	if c.PullTimeout <= 0 {
+		c.PullTimeout = 3 * time.Second
+	}
+	if c.ConcurrentPulls <= 0 {
+		c.ConcurrentPulls = 1
+	}
+	if c.StartupPeers <= 0 {
+		c.StartupPeers = 3
+	}
+	if c.MaxDocumentBytes <= 0 {
+		c.MaxDocumentBytes = 1 << 20
+	}
+	return c
+}
