--- /dev/null
+++ b/membership/membershiptest/fleet.go
@@ -0,0 +1,244 @@
+package membershiptest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/membership"
+	"github.com/gypsumford/gypsumford/rollout"
+)
+
+const (
+	wheelMs      = 8192
+	tickMs       = int(membership.TickInterval / time.Millisecond)
+	platformMs   = 5    // delay of a read of the platform
+	joinRetryMs  = 1000 // between two tries of a new node to join
+	joinAttempts = 30
+)
+
+// Options describe a Fleet.
+type Options struct {
+	Nodes    int
+	Domains  int // failure domains, the nodes dealt to them in turn
+	Regions  int // the domains dealt to them in turn
+	Services int
+	Seed     uint64
+	// Known has all nodes know each other at the start; otherwise they join.
+	Known bool
+	// Members and Rollout configure the tables.
+	Members membership.Config
+	Rollout rollout.Config
+}
+
+// Fleet is a set of nodes with their network and platform. The fields may be
+// changed while it runs.
+type Fleet struct {
+	Now      time.Time
+	Nodes    []*Node
+	Platform Platform
+
+	// Delay returns how long a datagram takes, before jitter.
+	Delay func(from, to *Node) time.Duration
+	// Jitter is the longest random delay beside that.
+	Jitter time.Duration
+	// Loss and Duplicate are shares of the datagrams.
+	Loss      float64
+	Duplicate float64
+	// Cut reports whether nothing passes between two nodes; nil for never.
+	Cut func(a, b *Node) bool
+	// Check is the check of each offered document; nil takes all.
+	Check func([]byte) error
+	// Accept is called when a node takes a version.
+	Accept func(n *Node, version uint64)
+
+	options   Options
+	rng       *rand.Rand
+	events    *wheel
+	byAddress map[string]int
+	restarts  int
+	elapsedMs int
+}
+
+// New returns a fleet whose nodes run.
+func New(o Options) *Fleet {
+	f := &Fleet{
+		Now:       time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		Delay:     func(from, to *Node) time.Duration { return time.Millisecond },
+		options:   o,
+		rng:       rand.New(rand.NewPCG(o.Seed, 1)),
+		events:    newWheel(wheelMs),
+		byAddress: map[string]int{},
+	}
+	instances := make([]fleet.Instance, o.Nodes)
+	for i := range instances {
+		instances[i] = f.instance(i)
+	}
+	var base *membership.Base
+	if o.Known {
+		base = membership.NewBase(instances)
+	}
+	domains := map[fleet.FailureDomain][]fleet.InstanceID{}
+	for _, instance := range instances {
+		domains[instance.FailureDomain] = append(domains[instance.FailureDomain], instance.ID)
+	}
+	for i, instance := range instances {
+		f.Nodes = append(f.Nodes, &Node{index: i})
+		f.byAddress[instance.PeerAddress] = i
+		f.start(i, instance, base)
+		if o.Known {
+			f.Nodes[i].Rollout.SetMembers(f.Now, domains[instance.FailureDomain])
+			f.Nodes[i].Rollout.SetFleetSize(o.Nodes)
+			continue
+		}
+		if i > 0 {
+			f.join(f.Nodes[i].Members, i, joinAttempts)
+		}
+	}
+	return f
+}
+
+func (f *Fleet) instance(i int) fleet.Instance {
+	domain := i % max(1, f.options.Domains)
+	region := domain % max(1, f.options.Regions)
+	return fleet.Instance{
+		ID:            fleet.InstanceID(fmt.Sprintf("i%05d-%04d", i, f.restarts)),
+		PeerAddress:   fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255),
+		FailureDomain: fleet.FailureDomain(fmt.Sprintf("d%02d", domain)),
+		Region:        fleet.Region(fmt.Sprintf("r%02d", region)),
+		Service:       fmt.Sprintf("service-%03d", i%max(1, f.options.Services)),
+		Slots:         70,
+		State:         fleet.Ready,
+	}
+}
+
+func (f *Fleet) start(i int, instance fleet.Instance, base *membership.Base) {
+	n := f.Nodes[i]
+	n.Instance = instance
+	n.Running = true
+	n.Paused = false
+	n.reading = false
+	n.buffered = nil
+	seed := f.rng.Uint64()
+	if base != nil {
+		n.Members = membership.NewTableFrom(f.options.Members, instance, f.Now, seed, base)
+	} else {
+		n.Members = membership.NewTable(f.options.Members, instance, f.Now, seed)
+	}
+	n.Rollout = rollout.NewTable(f.options.Rollout, instance.ID, instance.FailureDomain, f.Now, seed)
+}
+
+// Run lets virtual time pass.
+func (f *Fleet) Run(d time.Duration) {
+	for range int(d / time.Millisecond) {
+		f.step()
+	}
+}
+
+// RunUntil lets time pass in steps of TickInterval until done, and returns how
+// much passed, or false if that was limit.
+func (f *Fleet) RunUntil(limit time.Duration, done func() bool) (time.Duration, bool) {
+	start := f.Now
+	for f.Now.Sub(start) < limit {
+		if done() {
+			return f.Now.Sub(start), true
+		}
+		f.Run(membership.TickInterval / 2)
+	}
+	return limit, done()
+}
+
+func (f *Fleet) step() {
+	f.Now = f.Now.Add(time.Millisecond)
+	f.elapsedMs++
+	for _, e := range f.events.step() {
+		if e.call != nil {
+			e.call()
+			continue
+		}
+		f.deliver(e.datagram)
+	}
+	for i := f.elapsedMs % tickMs; i < len(f.Nodes); i += tickMs {
+		if f.Nodes[i].active() {
+			f.tick(f.Nodes[i])
+		}
+	}
+}
+
+func (f *Fleet) deliver(d datagram) {
+	n := f.Nodes[d.to]
+	if !n.Running {
+		return
+	}
+	if n.Paused {
+		if len(n.buffered) < maxBuffered {
+			n.buffered = append(n.buffered, d)
+		}
+		return
+	}
+	n.BytesReceived += uint64(len(d.data) + headerBytes)
+	n.PacketsReceived++
+	out, _ := n.Members.Receive(f.Now, f.Nodes[d.from].Instance.PeerAddress, d.data)
+	f.send(n, out)
+}
+
+func (f *Fleet) send(n *Node, messages []membership.Message) {
+	for _, m := range messages {
+		n.BytesSent += uint64(len(m.Data) + headerBytes)
+		n.PacketsSent++
+		to, ok := f.byAddress[m.To]
+		if !ok || f.rng.Float64() < f.Loss || f.cut(n, f.Nodes[to]) {
+			continue
+		}
+		e := event{datagram: datagram{from: n.index, to: to, data: m.Data}}
+		f.events.add(f.delayMs(n, f.Nodes[to]), e)
+		if f.Duplicate > 0 && f.rng.Float64() < f.Duplicate {
+			f.events.add(f.delayMs(n, f.Nodes[to]), e)
+		}
+	}
+}
+
+func (f *Fleet) cut(a, b *Node) bool { return f.Cut != nil && f.Cut(a, b) }
+
+func (f *Fleet) delayMs(from, to *Node) int {
+	delay := f.Delay(from, to)
+	if f.Jitter > 0 {
+		delay += time.Duration(f.rng.Int64N(int64(f.Jitter)))
+	}
+	return int(delay / time.Millisecond)
+}
+
+// tick does for one node what the daemon does with each tick.
+func (f *Fleet) tick(n *Node) {
+	f.send(n, n.Members.Tick(f.Now))
+	for _, peer := range n.Members.NewerConfigPeers() {
+		n.Rollout.PeerVersion(f.Now, peer.Instance, peer.Address, peer.Version)
+	}
+	changes := n.Members.Changes()
+	n.Changes += len(changes)
+	if f.domainChanged(n, changes) {
+		n.Rollout.SetMembers(f.Now, n.Members.DomainMembers())
+	}
+	if len(changes) > 0 {
+		n.Rollout.SetFleetSize(n.Members.Len())
+	}
+	if address, ok := n.Members.ExchangeWith(); ok {
+		if peer, known := f.byAddress[address]; known {
+			f.exchange(n.Members, n.index, peer)
+		}
+	}
+	f.watch(n)
+	for _, pull := range n.Rollout.Tick(f.Now) {
+		f.pull(n, pull)
+	}
+}
+
+func (f *Fleet) domainChanged(n *Node, changes []membership.Change) bool {
+	for _, change := range changes {
+		if change.Instance.FailureDomain == n.Instance.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -347,6 +347,18 @@
 	return all
 }
 
+// DomainMembers returns the ids of the live members of the node's own failure
+// domain, the node included, in the order of their references.
+func (t *Table) DomainMembers() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	t.members.each(func(r *record) {
+		if r.live() && r.who.domain == t.self.who.domain {
+			ids = append(ids, r.who.id)
+		}
+	})
+	return ids
+}
+
 // Get returns the member with the given id.
 func (t *Table) Get(id fleet.InstanceID) (fleet.Instance, bool) {
 	r, ok := t.members.get(referenceOf(id))
