--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -17,8 +17,10 @@
 	Classes  []string  // names, the most important first
 	Attempts Attempts  // bound on the attempts of one request
 	Retry    Retry     // rules for sending a call again
-	Callers  []Caller  // businesses that share the services, may be empty
+	Callers  []Caller  // businesses that share the services, sorted by name; may be empty
 	Services []Service // sorted by name
+
+	index map[string]int // position in Services by name, nil unless parsed
 }
 
 // Attempts bounds what one request may cause.
@@ -44,8 +46,8 @@
 type Service struct {
 	Name       string
 	Contract   Contract
-	Operations []Operation
-	Calls      []string // names of the services that its targets call
+	Operations []Operation // sorted by name
+	Calls      []string    // names of the services that its targets call, sorted
 }
 
 // Contract states what each target of a service can bear.
@@ -70,6 +72,12 @@
 
 // Service returns the named service, or nil.
 func (inv *Inventory) Service(name string) *Service {
+	if inv.index != nil {
+		if i, ok := inv.index[name]; ok {
+			return &inv.Services[i]
+		}
+		return nil
+	}
 	for i := range inv.Services {
 		if inv.Services[i].Name == name {
 			return &inv.Services[i]
@@ -78,6 +86,14 @@
 	return nil
 }
 
+// buildIndex makes Service fast on large inventories.
+func (inv *Inventory) buildIndex() {
+	inv.index = make(map[string]int, len(inv.Services))
+	for i := range inv.Services {
+		inv.index[inv.Services[i].Name] = i
+	}
+}
+
 // Operation returns the named operation, or nil.
 func (s *Service) Operation(name string) *Operation {
 	for i := range s.Operations {
@@ -95,3 +111,12 @@
 	}
 	return inv.Attempts.Bound
 }
+
+// ClassName returns the name of a class, or "" if the inventory has no such
+// class.
+func (inv *Inventory) ClassName(class call.Class) string {
+	if int(class) < len(inv.Classes) {
+		return inv.Classes[class]
+	}
+	return ""
+}
