--- /dev/null
+++ b/timeline/event.go
@@ -0,0 +1,38 @@
+package timeline
+
+import (
+	"time"
+
+	"github.com/gypsumford/gypsumford/call"
+	"github.com/gypsumford/gypsumford/fleet"
+)
+
+// Event is one thing that happened on one node. Ring.Record sets Sequence,
+// Lamport and Node.
+type Event struct {
+	Sequence  uint64           `json:"sequence"` // counts the node's events from 1
+	Lamport   uint64           `json:"lamport"`  // greater than that of every cause
+	Time      time.Time        `json:"time"`     // wall clock of the node, for display
+	Node      fleet.InstanceID `json:"node"`
+	Kind      Kind             `json:"kind"`
+	Request   call.RequestID   `json:"request,omitempty"`
+	Service   string           `json:"service,omitempty"`
+	Operation string           `json:"operation,omitempty"`
+	Class     string           `json:"class,omitempty"`
+	Detail    string           `json:"detail,omitempty"` // see the kinds
+	Value     float64          `json:"value,omitempty"`  // see the kinds
+}
+
+// Filter selects events; an empty field selects all.
+type Filter struct {
+	Request call.RequestID
+	Service string
+	Kind    Kind
+}
+
+// Selects reports whether the event passes the filter.
+func (f Filter) Selects(e *Event) bool {
+	return (f.Request == "" || f.Request == e.Request) &&
+		(f.Service == "" || f.Service == e.Service) &&
+		(f.Kind == NoKind || f.Kind == e.Kind)
+}
