--- /dev/null
+++ b/admission/flows.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/gypsumford/gypsumford/call"
+)
+
+// rankSpan is the number of ranks of one class.
+const rankSpan = 1 << 24
+
+// Parameters of the estimate of demand.
+const (
+	// countedPart is the part of the admitted ranks in which arrivals are
+	// counted. Entry nodes that haven't yet followed a rise, or that follow a
+	// stricter target of the same service, still admit all of these.
+	countedPart  = 0.5
+	flowSamples  = 64                     // arrivals that an estimate looks back on
+	flowMemory   = 100 * time.Millisecond // shortest time that it looks back
+	flowMemoryMx = time.Second            // longest time that it looks back
+)
+
+// flow is the demand of one caller in one class.
+type flow struct {
+	admitted float64 // fraction of the ranks that the level admits
+	counted  call.Rank
+	arrivals int  // below the counted rank, since the last tick
+	demand   rate // calls per second in all ranks, admitted or not
+}
+
+// caller is one business as the queue sees it.
+type caller struct {
+	weight float64
+	flows  [call.MaxClasses]flow
+	level  call.Level
+}
+
+// callers is the table of callers of one target.
+type callers struct {
+	index  map[string]int32
+	list   []*caller
+	weight map[string]float64
+}
+
+func newCallers(shares []CallerShare) callers {
+	c := callers{index: make(map[string]int32, MaxCallers)}
+	c.setShares(shares)
+	return c
+}
+
+// setShares takes new weights and keeps what is known of each caller.
+func (c *callers) setShares(shares []CallerShare) {
+	c.weight = make(map[string]float64, len(shares))
+	for _, share := range shares {
+		c.weight[share.Name] = float64(max(share.Share, 1))
+	}
+	for name, at := range c.index {
+		c.list[at].weight = c.weightOf(name)
+	}
+}
+
+func (c *callers) weightOf(name string) float64 {
+	if weight, ok := c.weight[name]; ok {
+		return weight
+	}
+	return 1
+}
+
+// find returns the caller's place; a full table shares its last one.
+func (c *callers) find(name string) *caller {
+	if at, ok := c.index[name]; ok {
+		return c.list[at]
+	}
+	if len(c.list) == MaxCallers {
+		return c.list[MaxCallers-1]
+	}
+	added := &caller{weight: c.weightOf(name), level: call.AdmitAll}
+	for class := range added.flows {
+		added.flows[class].admit(1)
+	}
+	c.index[name] = int32(len(c.list))
+	c.list = append(c.list, added)
+	return added
+}
+
+// arrive counts one call.
+func (c *caller) arrive(p call.Priority) {
+	f := c.flow(p)
+	if p.Rank() < f.counted {
+		f.arrivals++
+	}
+}
+
+func (c *caller) flow(p call.Priority) *flow {
+	return &c.flows[min(int(p.Class()), call.MaxClasses-1)]
+}
+
+// order returns the call's place in the queue. The rank is stretched by the
+// part of the caller's demand that the level admits: so calls of a caller that
+// asks for more than its share stand behind those of one that doesn't.
+func (c *caller) order(p call.Priority) uint64 {
+	admitted := max(c.flow(p).admitted, 1.0/64)
+	stretched := uint64(float64(p.Rank()) / admitted)
+	return uint64(p.Class())<<40 | stretched
+}
+
+// admit sets the fraction of the ranks that the level admits.
+func (f *flow) admit(fraction float64) {
+	f.admitted = fraction
+	f.counted = call.Rank(fraction * countedPart * rankSpan)
+}
+
+// tick brings the estimate up to date with the arrivals of the last interval.
+func (f *flow) tick(seconds float64) {
+	exposure := float64(f.counted) / rankSpan * seconds
+	events := float64(f.arrivals)
+	f.arrivals = 0
+	if exposure == 0 {
+		return
+	}
+	if f.demand.jumped(events, exposure) {
+		f.demand.restart(events, exposure)
+		return
+	}
+	perSecond := f.demand.value() * exposure / seconds
+	memory := flowMemoryMx.Seconds()
+	if perSecond > 0 {
+		memory = min(memory, max(flowMemory.Seconds(), flowSamples/perSecond))
+	}
+	f.demand.add(events, exposure, math.Exp(-seconds/memory))
+}
