--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,365 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/gypsumford/gypsumford/admission"
+	"github.com/gypsumford/gypsumford/agent/bus"
+	"github.com/gypsumford/gypsumford/agent/link"
+	"github.com/gypsumford/gypsumford/agent/metrics"
+	"github.com/gypsumford/gypsumford/api/platform"
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/membership"
+	"github.com/gypsumford/gypsumford/rollout"
+	"github.com/gypsumford/gypsumford/routing"
+	"github.com/gypsumford/gypsumford/timeline"
+)
+
+const (
+	platformWorkers = 8    // calls to the platform and to peers for control at a time
+	platformQueue   = 1024 // such calls that wait
+	// instanceIDLength is the length of an instance id in base32 characters,
+	// enough for two processes never to share one.
+	instanceIDLength = 20
+	headerTimeout    = 5 * time.Second // of the listeners
+	controlTimeout   = 5 * time.Second // of twirp requests between nodes
+	claimTick        = 20 * time.Millisecond
+	seedTick         = 5 * time.Second
+	leaseTick        = 500 * time.Millisecond
+	rolloutTick      = 100 * time.Millisecond
+)
+
+// Agent is one node.
+type Agent struct {
+	settings    *Settings
+	log         logr.Logger
+	now         func() time.Time
+	started     time.Time
+	self        fleet.Instance
+	callSocket  net.Listener
+	peerSocket  net.Listener
+	controlHTTP *http.Client
+	metrics     *metrics.Set
+	bus         *bus.Bus
+	workers     *pool
+
+	inForce        *inForce
+	routes         *routeTable
+	directory      *directory
+	ring           *ringTable
+	target         *target
+	parents        *parentTable
+	delivery       *delivery
+	dispatcher     *dispatcher
+	paid           *paid
+	entry          *entry
+	members        *members
+	configurations *configurations
+	seeds          *seeds
+
+	joined       atomic.Bool
+	fleetChanged atomic.Bool  // the rollout doesn't know yet who is live
+	inFlight     atomic.Int64 // calls that the listeners serve
+}
+
+// New opens the listeners and builds the node. Run starts it.
+func New(s *Settings, log logr.Logger) (*Agent, error) {
+	a := &Agent{
+		settings: s, log: log, now: time.Now, started: time.Now(),
+		metrics: metrics.NewSet(), bus: bus.New(), workers: newPool(platformWorkers, platformQueue),
+		inForce: &inForce{}, directory: newDirectory(), parents: newParentTable(),
+	}
+	socket, err := a.listen()
+	if err != nil {
+		return nil, err
+	}
+	id := fleet.InstanceID(strings.ToLower(rand.Text()[:instanceIDLength]))
+	a.self = s.instance(id, a.peerSocket.Addr().String())
+	a.controlHTTP = &http.Client{Transport: link.NewTransport(), Timeout: controlTimeout}
+	a.buildTables()
+	a.buildControl(socket)
+	a.buildCallPath()
+	a.addGauges()
+	a.fleetChanged.Store(true)
+	return a, nil
+}
+
+// listen opens the listeners; UDP takes the port number that TCP got.
+func (a *Agent) listen() (net.PacketConn, error) {
+	var err error
+	if a.callSocket, err = net.Listen("tcp", *a.settings.CallListen); err != nil {
+		return nil, errors.Wrap(err, "-call-listen")
+	}
+	if a.peerSocket, err = net.Listen("tcp", *a.settings.PeerListen); err != nil {
+		return nil, errors.Wrap(err, "-peer-listen")
+	}
+	socket, err := net.ListenPacket("udp", a.peerSocket.Addr().String())
+	if err != nil {
+		return nil, errors.Wrap(err, "-peer-listen (UDP)")
+	}
+	return socket, nil
+}
+
+func (a *Agent) buildTables() {
+	a.routes = &routeTable{table: routing.NewTable(routing.Config{}, a.self.FailureDomain, a.self.Region, randomSeed())}
+	a.ring = &ringTable{ring: timeline.NewRing(a.self.ID, *a.settings.TimelineSize), now: a.now}
+	a.target = &target{now: a.now, changed: a.targetChanged}
+}
+
+func (a *Agent) buildControl(socket net.PacketConn) {
+	platformCalls := &platformCalls{
+		client:  platform.New(*a.settings.Platform, &http.Client{Transport: link.NewTransport()}),
+		metrics: a.metrics, announce: a.announce,
+	}
+	a.members = &members{
+		now: a.now, socket: socket, http: a.controlHTTP, metrics: a.metrics,
+		announce: a.announce, changed: a.membersChanged,
+	}
+	a.members.mu.table = membership.NewTable(membership.Config{}, a.self, a.now(), randomSeed())
+	a.configurations = &configurations{
+		now: a.now, platform: platformCalls, http: a.controlHTTP, workers: a.workers,
+		metrics: a.metrics, announce: a.announce, inForce: a.inForce, accepted: a.configAccepted,
+	}
+	a.configurations.mu.table = rollout.NewTable(rollout.Config{}, a.self.ID, a.self.FailureDomain, a.now(), randomSeed())
+	a.seeds = &seeds{
+		now: a.now, self: a.self, static: *a.settings.Seeds, platform: platformCalls, members: a.members,
+	}
+}
+
+func (a *Agent) buildCallPath() {
+	calls := link.New(link.NewTransport(), a.now)
+	levels := &levelTable{levels: admission.NewLevels()}
+	attempts := newAttemptTable()
+	a.delivery = newDelivery(a, calls)
+	a.dispatcher = &dispatcher{
+		self: a.self.ID, now: a.now, config: a.inForce, routes: a.routes, levels: levels,
+		attempts: attempts, link: calls, local: a.delivery, ring: a.ring, metrics: a.metrics,
+		unreachable: a.members.unreachable,
+	}
+	a.paid = newPaid(a, calls)
+	a.entry = &entry{
+		now: a.now, config: a.inForce, ready: a.ready, draining: a.target.isDraining,
+		parents: a.parents, levels: levels, attempts: attempts, dispatcher: a.dispatcher,
+		paid: a.paid, ring: a.ring, metrics: a.metrics,
+	}
+}
+
+func (a *Agent) addGauges() {
+	a.metrics.Gauge("members", func() int64 { return int64(a.members.len()) })
+	a.metrics.Gauge("config_version", func() int64 { return int64(a.inForce.version()) })
+	a.metrics.Gauge("calls_in_flight", a.inFlight.Load)
+	a.metrics.Gauge("target_running", func() int64 { return int64(a.delivery.stats().Running) })
+	a.metrics.Gauge("target_queued", func() int64 { return int64(a.delivery.stats().Queued) })
+	a.metrics.Gauge("target_limit", func() int64 { return int64(a.delivery.stats().Limit) })
+}
+
+// ready reports whether the node may serve callers.
+func (a *Agent) ready() bool { return a.joined.Load() && a.configurations.ready() }
+
+func (a *Agent) callAddress() string { return a.callSocket.Addr().String() }
+
+// randomSeed seeds the decisions of one process.
+func randomSeed() uint64 {
+	var seed [8]byte
+	_, _ = rand.Read(seed[:]) // never fails, see crypto/rand
+	return binary.LittleEndian.Uint64(seed[:])
+}
+
+// slotsOf returns the slots that the service's contract states, 0 if unknown.
+func (a *Agent) slotsOf(service string) int {
+	if config := a.inForce.get(); config != nil {
+		if index := config.services[service]; index != nil {
+			return index.service.Contract.Slots
+		}
+	}
+	return 0
+}
+
+// targetChanged acts on a new state of the own target.
+func (a *Agent) targetChanged(service string, state fleet.State) {
+	a.paid.open(service)
+	a.delivery.setQueueConfig(a.queueConfig(service))
+	a.delivery.setDraining(state == fleet.Draining)
+	if state == fleet.Draining {
+		a.paid.drain()
+	}
+	a.members.setTarget(service, a.slotsOf(service), state)
+	a.membersChanged([]string{service}) // the table tells only changes of others
+	a.announce(bus.Announcement{Topic: bus.TopicTarget, What: "target-state", Service: service, Detail: state.String()})
+}
+
+// queueConfig is the queue's configuration by the inventory in force.
+func (a *Agent) queueConfig(service string) admission.Config {
+	config := admission.DefaultConfig(a.slotsOf(service))
+	if inForce := a.inForce.get(); inForce != nil {
+		for _, c := range inForce.inventory.Callers {
+			config.Callers = append(config.Callers, admission.CallerShare{Name: c.Name, Share: c.Share})
+		}
+	}
+	return config
+}
+
+// membersChanged hands new lists of the services' instances to the call path.
+func (a *Agent) membersChanged(services []string) {
+	for _, service := range services {
+		instances := a.members.instances(service)
+		a.directory.set(service, instances)
+		a.routes.setInstances(a.now(), service, instances)
+	}
+	a.fleetChanged.Store(true)
+}
+
+// tellFleet tells the rollout who is live, if that has changed.
+func (a *Agent) tellFleet() {
+	if !a.fleetChanged.Swap(false) {
+		return
+	}
+	var domain []fleet.InstanceID
+	live := 0
+	for _, m := range a.members.all() {
+		if !isLive(m.State) {
+			continue
+		}
+		live++
+		if m.FailureDomain == a.self.FailureDomain {
+			domain = append(domain, m.ID)
+		}
+	}
+	a.configurations.setMembers(domain, live)
+}
+
+func isLive(state fleet.State) bool { return state != fleet.Dead && state != fleet.Left }
+
+// peers returns the live instances but this one.
+func (a *Agent) peers() []fleet.Instance {
+	var peers []fleet.Instance
+	for _, m := range a.members.all() {
+		if isLive(m.State) && m.ID != a.self.ID {
+			peers = append(peers, m)
+		}
+	}
+	return peers
+}
+
+// configAccepted acts on a configuration that has come into force.
+func (a *Agent) configAccepted(config *configuration) {
+	a.members.setConfigVersion(config.version)
+	for name, index := range config.services {
+		contract := index.service.Contract
+		a.routes.setService(name, routing.ServiceConfig{ColdStart: contract.ColdStart, Slots: contract.Slots})
+	}
+	if service, _, state := a.target.get(); service != "" {
+		a.delivery.setQueueConfig(a.queueConfig(service))
+		a.members.setTarget(service, a.slotsOf(service), state)
+		a.membersChanged([]string{service})
+	}
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (a *Agent) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := a.subscribe(background); err != nil {
+		return err
+	}
+	callServer := newServer(a.callRouter())
+	peerServer := newServer(a.peerRouter())
+	failed := make(chan error, 2)
+	go func() { failed <- callServer.Serve(a.callSocket) }()
+	go func() { failed <- peerServer.Serve(a.peerSocket) }()
+	a.startControl(background)
+	a.log.Info("node started", "node", a.self.ID, "call", a.callAddress(), "peer", a.self.PeerAddress)
+	a.ring.record(timeline.Event{Kind: timeline.NodeStarted})
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return errors.Wrap(err, "listener")
+	}
+	a.stopGracefully(callServer, peerServer)
+	return nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: link.ServerIdleTimeout}
+}
+
+// startControl starts everything that runs beside the calls.
+func (a *Agent) startControl(ctx context.Context) {
+	go a.members.listen()
+	go every(ctx, membership.TickInterval, a.members.tick)
+	go every(ctx, admission.TickInterval, a.delivery.tick)
+	go every(ctx, claimTick, a.paid.tick)
+	go every(ctx, leaseTick, a.target.expire)
+	go every(ctx, rolloutTick, a.rolloutTick)
+	go a.configurations.watch(ctx)
+	go func() {
+		a.seeds.join(ctx)
+		a.seeds.refresh(ctx)
+		a.joined.Store(true)
+		a.configurations.startUp(ctx, a.peers)
+	}()
+	go every(ctx, seedTick, func() {
+		if a.joined.Load() {
+			a.seeds.refresh(ctx)
+			a.seeds.exchangeDue(ctx)
+		}
+	})
+}
+
+// rolloutTick tells the rollout what packets said and starts pulls.
+func (a *Agent) rolloutTick() {
+	a.tellFleet()
+	a.members.mu.Lock()
+	newer := a.members.mu.table.NewerConfigPeers()
+	a.members.mu.Unlock()
+	a.configurations.heard(newer)
+	a.configurations.tick()
+}
+
+// stopGracefully lets calls in flight complete, for as long as the settings
+// allow, and leaves the fleet.
+func (a *Agent) stopGracefully(callServer, peerServer *http.Server) {
+	a.log.Info("node stopping", "in-flight", a.inFlight.Load())
+	a.ring.record(timeline.Event{Kind: timeline.NodeStopping, Detail: "signal"})
+	a.target.drain()
+	deadline := a.now().Add(*a.settings.DrainTimeout)
+	a.waitIdle(deadline)
+	a.members.leave()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(time.Second))
+	defer cancel()
+	if err := callServer.Shutdown(ctx); err != nil {
+		a.log.Error(err, "calls cut off", "in-flight", a.inFlight.Load())
+	}
+	_ = peerServer.Shutdown(ctx) // peers see the connections close
+	_ = a.members.socket.Close()
+	_ = a.bus.Close()
+	a.log.Info("node stopped")
+}
+
+// quietTime is how long no call must be in flight before a node stops: peers
+// learn meanwhile that it leaves.
+const quietTime = 500 * time.Millisecond
+
+// waitIdle returns once no call has been in flight for quietTime, or at the
+// deadline.
+func (a *Agent) waitIdle(deadline time.Time) {
+	const step = 20 * time.Millisecond
+	idle := time.Duration(0)
+	for idle < quietTime && a.now().Before(deadline) {
+		time.Sleep(step)
+		idle += step
+		if a.inFlight.Load() > 0 || a.delivery.stats().Running > 0 || a.paid.running() > 0 {
+			idle = 0
+		}
+	}
+}
--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,229 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/callhttp"
+	"github.com/gypsumford/gypsumford/settings"
+)
+
+const testInventory = `
+classes: [orders, browsing]
+attempts: {bound: 6}
+retry: {budget-percent: 10, max-per-call: 3, backoff-min: 5ms, backoff-max: 50ms}
+services:
+  - name: shop
+    contract: {slots: 4, connections: 100}
+    calls: [stock]
+    operations:
+      - {name: buy, class: orders, at-most-once: true, deadline: 2s}
+      - {name: look, class: browsing, repeatable: true, deadline: 2s}
+  - name: stock
+    contract: {slots: 4, connections: 100}
+    operations:
+      - {name: count, class: browsing, repeatable: true, deadline: 2s}
+`
+
+// settle bounds the waits for what the agents do in the background.
+const settleTimeout = 20 * time.Second
+
+// testNode is an agent with a target beside it.
+type testNode struct {
+	agent  *Agent
+	stop   context.CancelFunc
+	done   chan struct{}
+	target *httptest.Server
+	runs   atomic.Int64
+}
+
+func startNode(t *testing.T, platformURL, service string, handle func(n *testNode, w http.ResponseWriter, r *http.Request)) *testNode {
+	t.Helper()
+	set := settings.New("test", func(string) string { return "" })
+	declared := DeclareSettings(set)
+	err := set.Parse([]string{
+		"-call-listen=127.0.0.1:0", "-peer-listen=127.0.0.1:0", "-platform=" + platformURL,
+		"-failure-domain=by-1", "-region=bayern", "-drain-timeout=5s",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	node := &testNode{done: make(chan struct{})}
+	if node.agent, err = New(declared, logr.Discard()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	node.stop = stop
+	go func() {
+		defer close(node.done)
+		_ = node.agent.Run(ctx)
+	}()
+	node.target = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		node.runs.Add(1)
+		handle(node, w, r)
+	}))
+	t.Cleanup(func() {
+		stop()
+		<-node.done
+		node.target.Close()
+	})
+	go node.announce(ctx, service)
+	return node
+}
+
+func (n *testNode) announce(ctx context.Context, service string) {
+	address := strings.TrimPrefix(n.target.URL, "http://")
+	body, _ := json.Marshal(Announcement{Service: service, Address: address, State: "ready"})
+	post := func() {
+		response, err := http.Post("http://"+n.agent.callAddress()+"/target/announce", "application/json", bytes.NewReader(body))
+		if err == nil {
+			response.Body.Close()
+		}
+	}
+	post()
+	every(ctx, time.Second, post)
+}
+
+type answer struct {
+	status          int
+	outcome, reason string
+	body            string
+}
+
+func (n *testNode) call(path, key string, header ...string) answer {
+	request, _ := http.NewRequest(http.MethodPost, "http://"+n.agent.callAddress()+"/call/"+path, strings.NewReader("body"))
+	if key != "" {
+		request.Header.Set(callhttp.HeaderIdempotencyKey, key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{body: err.Error()}
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return answer{
+		status: response.StatusCode, body: string(body),
+		outcome: response.Header.Get(callhttp.HeaderOutcome), reason: response.Header.Get(callhttp.HeaderReason),
+	}
+}
+
+// until waits for a condition that the agents bring about in the background.
+func until(t *testing.T, what string, condition func() (bool, any)) {
+	t.Helper()
+	deadline := time.Now().Add(settleTimeout)
+	for {
+		reached, seen := condition()
+		if reached {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s; last seen: %+v", what, seen)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// askStock makes the child call of the shop's target through its own node.
+func askStock(n *testNode, w http.ResponseWriter, r *http.Request) {
+	child := n.call("stock/count", "", callhttp.HeaderParent, r.Header.Get(callhttp.HeaderParent))
+	if child.status != http.StatusOK {
+		w.WriteHeader(http.StatusBadGateway)
+	}
+	fmt.Fprintf(w, "%s run %d: %s", r.Header.Get(callhttp.HeaderOperation), n.runs.Load(), child.body)
+}
+
+func countStock(_ *testNode, w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(w, "12 chairs for %s", body)
+}
+
+func TestWholePath(t *testing.T) {
+	fake, url := newFakePlatform(t)
+	fake.put(ConfigKey, []byte(testInventory))
+	shop := startNode(t, url, "shop", askStock)
+	stock := startNode(t, url, "stock", countStock)
+	for _, node := range []*testNode{shop, stock} {
+		until(t, "a call enters at any node and completes", func() (bool, any) {
+			got := node.call("shop/look", "")
+			return got.status == http.StatusOK, got
+		})
+	}
+	Convey("A request passes two services and its whole answer comes back", t, func() {
+		got := stock.call("shop/look", "")
+		So(got.outcome, ShouldEqual, "completed")
+		So(got.body, ShouldContainSubstring, "12 chairs for body")
+	})
+	Convey("An at-most-once operation without a key is refused as not run", t, func() {
+		got := stock.call("shop/buy", "")
+		So(got.outcome, ShouldEqual, "not-run")
+		So(got.reason, ShouldEqual, "key")
+	})
+	Convey("An unknown operation is refused with its reason", t, func() {
+		So(stock.call("shop/steal", "").reason, ShouldEqual, "unknown-operation")
+	})
+	Convey("One key runs once, however many ask at the same time and later", t, func() {
+		key := uuid.Must(uuid.NewV7()).String()
+		before := shop.runs.Load()
+		bodies := callTogether(20, func(i int) answer { return []*testNode{shop, stock}[i%2].call("shop/buy", key) })
+		for _, got := range bodies {
+			So(got, ShouldResemble, bodies[0])
+		}
+		So(bodies[0].outcome, ShouldEqual, "completed")
+		So(stock.call("shop/buy", key), ShouldResemble, bodies[0])
+		So(shop.runs.Load()-before, ShouldEqual, 1)
+	})
+	Convey("While the platform is out, chosen keys are refused as not run and issued ones run", t, func() {
+		fake.setDown(true)
+		defer fake.setDown(false)
+		before := shop.runs.Load()
+		got := stock.call("shop/buy", uuid.Must(uuid.NewV7()).String())
+		So(got.outcome, ShouldEqual, "not-run")
+		So(got.reason, ShouldEqual, "platform")
+		So(shop.runs.Load(), ShouldEqual, before)
+		issued := issueKey(t, stock)
+		So(stock.call("shop/buy", issued).outcome, ShouldEqual, "completed")
+		So(shop.call("shop/buy", issued).outcome, ShouldEqual, "completed")
+		So(shop.runs.Load()-before, ShouldEqual, 1)
+	})
+}
+
+func callTogether(count int, ask func(i int) answer) []answer {
+	answers := make([]answer, count)
+	var wait sync.WaitGroup
+	for i := range answers {
+		wait.Go(func() { answers[i] = ask(i) })
+	}
+	wait.Wait()
+	return answers
+}
+
+func issueKey(t *testing.T, n *testNode) string {
+	t.Helper()
+	response, err := http.Post("http://"+n.agent.callAddress()+"/keys/shop", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var issued issuedKeys
+	if err := json.NewDecoder(response.Body).Decode(&issued); err != nil || len(issued.Keys) != 1 {
+		t.Fatalf("issued %v: %v", issued, err)
+	}
+	return issued.Keys[0]
+}
--- /dev/null
+++ b/agent/bus/bus.go
@@ -0,0 +1,88 @@
+// Package bus announces what changes inside a node from those who know it to
+// those who act on it, over watermill. The path of a single call does not go
+// through it.
+package bus
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	"github.com/cockroachdb/errors"
+)
+
+// Topic groups announcements by what they are about.
+type Topic string
+
+// The topics of a node.
+const (
+	TopicConfig     Topic = "config"     // a configuration was accepted or refused
+	TopicMembership Topic = "membership" // an instance joined, changed or was lost
+	TopicTarget     Topic = "target"     // the own target's state changed
+	TopicLimit      Topic = "limit"      // the own target's limit or level changed
+	TopicPlatform   Topic = "platform"   // the platform stopped or started answering
+)
+
+// Topics returns all topics.
+func Topics() []Topic {
+	return []Topic{TopicConfig, TopicMembership, TopicTarget, TopicLimit, TopicPlatform}
+}
+
+// bufferedAnnouncements is how many announcements wait for a slow subscriber.
+const bufferedAnnouncements = 1024
+
+// Announcement tells one change.
+type Announcement struct {
+	Topic   Topic     `json:"topic"`
+	Time    time.Time `json:"time"`
+	What    string    `json:"what"`              // the change, such as "member-joined"
+	Subject string    `json:"subject,omitempty"` // instance, service or object that changed
+	Service string    `json:"service,omitempty"`
+	Detail  string    `json:"detail,omitempty"`
+	Value   float64   `json:"value,omitempty"` // new limit, version or similar
+}
+
+// Bus carries announcements within one process.
+type Bus struct {
+	channel *gochannel.GoChannel
+}
+
+// New returns an open bus.
+func New() *Bus {
+	config := gochannel.Config{OutputChannelBuffer: bufferedAnnouncements}
+	return &Bus{channel: gochannel.NewGoChannel(config, watermill.NopLogger{})}
+}
+
+// Publish announces a change. It does not wait for subscribers.
+func (b *Bus) Publish(a Announcement) error {
+	payload, err := json.Marshal(a)
+	if err != nil {
+		return errors.Wrapf(err, "announce %s", a.What)
+	}
+	return b.channel.Publish(string(a.Topic), message.NewMessage(watermill.NewULID(), payload))
+}
+
+// Subscribe calls handle for each announcement of the topic, in a goroutine of
+// its own, until the context ends or the bus is closed.
+func (b *Bus) Subscribe(ctx context.Context, topic Topic, handle func(Announcement)) error {
+	messages, err := b.channel.Subscribe(ctx, string(topic))
+	if err != nil {
+		return errors.Wrapf(err, "subscribe to %s", topic)
+	}
+	go func() {
+		for m := range messages {
+			var a Announcement
+			if err := json.Unmarshal(m.Payload, &a); err == nil {
+				handle(a)
+			}
+			m.Ack()
+		}
+	}()
+	return nil
+}
+
+// Close ends all subscriptions.
+func (b *Bus) Close() error { return b.channel.Close() }
--- /dev/null
+++ b/agent/exchange/write.go
@@ -0,0 +1,96 @@
+package exchange
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/gypsumford/gypsumford/call"
+	"github.com/gypsumford/gypsumford/callhttp"
+)
+
+// copyBufferBytes is the size of the pieces in which a streamed answer is sent.
+const copyBufferBytes = 32 << 10
+
+// Write sends the reply to a caller and closes its body. An answer that breaks
+// off half way aborts the connection, so the receiver can't take it for whole.
+func Write(w http.ResponseWriter, requestID call.RequestID, reply *Reply) {
+	defer reply.Body.Close()
+	header := w.Header()
+	if reply.Outcome == call.Completed {
+		callhttp.CopyHeader(header, reply.Header)
+	}
+	header.Set(callhttp.HeaderRequestID, string(requestID))
+	header.Set(callhttp.HeaderOutcome, reply.Outcome.String())
+	if reply.Node != "" {
+		header.Set(callhttp.HeaderNode, string(reply.Node))
+	}
+	switch reply.Outcome {
+	case call.Completed:
+		writeAnswer(w, reply)
+	case call.NotRun:
+		header.Set(callhttp.HeaderReason, reply.Reason.String())
+		callhttp.WriteRetryAfter(header, reply.RetryAfter)
+		w.WriteHeader(refusalStatus(reply.Reason))
+	default:
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}
+}
+
+// WriteToPeer sends the reply to another node, with the fields that only nodes
+// exchange.
+func WriteToPeer(w http.ResponseWriter, requestID call.RequestID, reply *Reply) {
+	header := w.Header()
+	header.Set(callhttp.HeaderUnspent, strconv.Itoa(reply.Unspent))
+	header.Set(callhttp.HeaderLevel, strconv.FormatUint(uint64(reply.Level), 10))
+	if reply.HasLoad {
+		header.Set(callhttp.HeaderLoad, reply.Load.String())
+	}
+	Write(w, requestID, reply)
+}
+
+// refusalStatus is 400 for calls that are wrong in themselves, 503 otherwise.
+func refusalStatus(reason call.Reason) int {
+	if reason == call.ReasonKey || reason == call.ReasonUnknownOperation {
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeAnswer(w http.ResponseWriter, reply *Reply) {
+	if reply.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
+	}
+	w.WriteHeader(reply.Status)
+	if err := stream(w, reply.Body, reply.Length < 0); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// stream copies the body. An answer of unknown length is flushed piece by
+// piece, as its receiver may be waiting for each.
+func stream(w http.ResponseWriter, body io.Reader, flush bool) error {
+	if !flush {
+		_, err := io.Copy(w, body)
+		return err
+	}
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return err
+			}
+			if err := controller.Flush(); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/agent/link/link.go
@@ -0,0 +1,214 @@
+// Package link sends calls over HTTP to peers and to the node's own target.
+//
+// net/http repeats a request on a fresh connection when it believes that to be
+// safe, among others whenever the request carries an Idempotency-Key. Such a
+// repetition would be an attempt that nobody counted, and a second run of a
+// paid operation. Every request of this package therefore has a body that
+// net/http can't rewind.
+package link
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/agent/exchange"
+	"github.com/gypsumford/gypsumford/call"
+	"github.com/gypsumford/gypsumford/callhttp"
+	"github.com/gypsumford/gypsumford/fleet"
+)
+
+// Limits of the connections that a node keeps.
+const (
+	DialTimeout        = 1 * time.Second
+	IdleTimeout        = 60 * time.Second  // below that of servers, so clients close first
+	ServerIdleTimeout  = 180 * time.Second // of the listeners of a node
+	MaxIdlePerAddress  = 512               // connections
+	maxHeaderBytes     = 64 << 10
+	refusalDrainBytes  = 4 << 10
+	maxIdleConnections = 4096
+)
+
+// NewTransport returns a transport for calls with the limits of this package.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: DialTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConns:           maxIdleConnections,
+		MaxIdleConnsPerHost:    MaxIdlePerAddress,
+		IdleConnTimeout:        IdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// Link sends calls. It is safe for concurrent use.
+type Link struct {
+	transport http.RoundTripper
+	now       func() time.Time
+}
+
+// New returns a link over the transport.
+func New(transport http.RoundTripper, now func() time.Time) *Link {
+	return &Link{transport: transport, now: now}
+}
+
+// Path of the calls between nodes.
+const (
+	DeliverPath = "/deliver/" // to the node of the chosen target
+	HomePath    = "/home/"    // to the home of an idempotency key
+)
+
+// Sender is what a node tells of itself with each call to a peer.
+type Sender struct {
+	Lamport       uint64
+	ConfigVersion uint64
+}
+
+// Peer sends the call to another node, below DeliverPath or HomePath.
+func (l *Link) Peer(ctx context.Context, to fleet.Instance, path string, r *exchange.Request, s Sender) *exchange.Reply {
+	target := url.URL{
+		Scheme: "http", Host: to.PeerAddress,
+		Path:     path + r.Call.Service + "/" + r.Call.Operation + r.Rest,
+		RawQuery: r.Query,
+	}
+	header := http.Header{}
+	callhttp.CopyHeader(header, r.Header)
+	callhttp.WriteEnvelope(header, l.now(), &callhttp.Envelope{
+		Call: r.Call, Instance: to.ID, Lamport: s.Lamport, ConfigVersion: s.ConfigVersion,
+	})
+	response, sent, err := l.send(ctx, r.Method, &target, header, r.Body)
+	if err != nil {
+		return failure(sent, r.Call.Grant, to.ID)
+	}
+	if response.Header.Get(callhttp.HeaderRequestID) != string(r.Call.Request) {
+		_ = response.Body.Close() // an answer to another request
+		return failure(true, r.Call.Grant, to.ID)
+	}
+	return peerReply(response, to.ID, r.Call.Grant)
+}
+
+// Target sends the call to the node's own target at the address. The header
+// holds the fields that the node adds.
+func (l *Link) Target(ctx context.Context, address string, r *exchange.Request, fields http.Header) *exchange.Reply {
+	target := url.URL{
+		Scheme: "http", Host: address,
+		Path:     "/" + r.Call.Operation + r.Rest,
+		RawQuery: r.Query,
+	}
+	header := http.Header{}
+	callhttp.CopyHeader(header, r.Header)
+	for name, values := range fields {
+		header[name] = values
+	}
+	response, sent, err := l.send(ctx, r.Method, &target, header, r.Body)
+	if err != nil {
+		return failure(sent, r.Call.Grant, "")
+	}
+	if response.Header.Get(callhttp.HeaderOutcome) == call.NotRun.String() {
+		retryAfter := callhttp.ReadRetryAfter(response.Header)
+		closeBody(response.Body)
+		return exchange.Refuse(call.ReasonShed, retryAfter, r.Call.Grant)
+	}
+	return completed(response)
+}
+
+// send sends one request once. It reports whether the request was, or may have
+// been, handed to a connection.
+func (l *Link) send(ctx context.Context, method string, target *url.URL, header http.Header, body []byte) (*http.Response, bool, error) {
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+target.Host, nil)
+	if err != nil {
+		return nil, false, errors.Wrapf(err, "request to %s", target.Host)
+	}
+	request.URL = target
+	request.Header = header
+	request.Body = io.NopCloser(bytes.NewReader(body)) // GetBody stays nil, see the package comment
+	request.ContentLength = int64(len(body))
+	response, err := l.transport.RoundTrip(request)
+	if err != nil {
+		return nil, connected, errors.Wrapf(err, "request to %s", target.Host)
+	}
+	return response, true, nil
+}
+
+// failure is the reply to a call without an answer: not run if no connection
+// was had, unknown otherwise.
+func failure(sent bool, grant int, node fleet.InstanceID) *exchange.Reply {
+	if sent {
+		reply := exchange.Lost()
+		reply.Node = node
+		return reply
+	}
+	reply := exchange.Refuse(call.ReasonNoTarget, 0, grant)
+	reply.ConnectFailed = true
+	reply.Node = node
+	return reply
+}
+
+func completed(response *http.Response) *exchange.Reply {
+	return &exchange.Reply{
+		Outcome: call.Completed, Status: response.StatusCode,
+		Header: response.Header, Body: response.Body, Length: response.ContentLength,
+		Level: call.AdmitAll,
+	}
+}
+
+// peerReply reads the answer of a peer. An answer without a valid outcome has
+// an unknown one.
+func peerReply(response *http.Response, node fleet.InstanceID, grant int) *exchange.Reply {
+	header := response.Header
+	outcome, ok := call.ParseOutcome(header.Get(callhttp.HeaderOutcome))
+	if !ok {
+		closeBody(response.Body)
+		return failure(true, grant, node)
+	}
+	reply := completed(response)
+	reply.Outcome = outcome
+	reply.Node = node
+	reply.Level = readLevel(header)
+	reply.Unspent = readUnspent(header, grant)
+	reply.Load, reply.HasLoad = callhttp.ParseLoad(header.Get(callhttp.HeaderLoad))
+	if outcome == call.Completed {
+		return reply
+	}
+	closeBody(response.Body)
+	reply.Body = http.NoBody
+	reply.Reason, _ = call.ParseReason(header.Get(callhttp.HeaderReason))
+	reply.RetryAfter = callhttp.ReadRetryAfter(header)
+	reply.Draining = reply.Reason == call.ReasonDraining
+	return reply
+}
+
+func readLevel(header http.Header) call.Level {
+	level, err := strconv.ParseUint(header.Get(callhttp.HeaderLevel), 10, 32)
+	if err != nil {
+		return call.AdmitAll
+	}
+	return call.Level(level)
+}
+
+// readUnspent never believes in more attempts than were granted.
+func readUnspent(header http.Header, grant int) int {
+	unspent, err := strconv.Atoi(header.Get(callhttp.HeaderUnspent))
+	if err != nil {
+		return 0
+	}
+	return min(max(unspent, 0), grant)
+}
+
+func closeBody(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, refusalDrainBytes)
+	_ = body.Close()
+}
--- /dev/null
+++ b/agent/members.go
@@ -0,0 +1,185 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/agent/bus"
+	"github.com/gypsumford/gypsumford/agent/metrics"
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/membership"
+	"github.com/gypsumford/gypsumford/rpc/peer"
+)
+
+const (
+	// maxPacketBytes is the size of the largest packet that a node reads.
+	maxPacketBytes = 64 << 10
+	// exchangeTimeout ends an exchange of whole membership tables.
+	exchangeTimeout = 2 * time.Second
+)
+
+// members runs the membership protocol: packets over UDP, whole tables over
+// twirp.
+type members struct {
+	now      func() time.Time
+	socket   net.PacketConn
+	http     *http.Client
+	metrics  *metrics.Set
+	announce func(bus.Announcement)
+	// changed is called, without any lock, after services changed.
+	changed func(services []string)
+
+	mu struct {
+		sync.Mutex
+		table *membership.Table
+	}
+}
+
+// locked runs one decision on the table, sends what it returns, and tells of
+// changes.
+func (m *members) locked(decide func(t *membership.Table) []membership.Message) {
+	m.mu.Lock()
+	messages := decide(m.mu.table)
+	changes := m.mu.table.Changes()
+	m.mu.Unlock()
+	m.send(messages)
+	m.tell(changes)
+}
+
+func (m *members) send(messages []membership.Message) {
+	for _, message := range messages {
+		address, err := net.ResolveUDPAddr("udp", message.To)
+		if err != nil {
+			m.metrics.BadInput.Add("member-address", 1)
+			continue
+		}
+		m.metrics.Packets.Add("sent", 1)
+		m.metrics.Packets.Add("sent-bytes", int64(len(message.Data)))
+		_, _ = m.socket.WriteTo(message.Data, address) // a lost packet is one that the protocol expects
+	}
+}
+
+// tell announces changes and hands on the services that they touch.
+func (m *members) tell(changes []membership.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	touched := map[string]bool{}
+	var services []string
+	for _, change := range changes {
+		m.metrics.Membership.Add(change.Instance.State.String(), 1)
+		m.announce(bus.Announcement{
+			Topic: bus.TopicMembership, What: "member-" + change.Instance.State.String(),
+			Subject: string(change.Instance.ID), Service: change.Instance.Service,
+			Detail: change.Instance.PeerAddress,
+		})
+		if service := change.Instance.Service; service != "" && !touched[service] {
+			touched[service] = true
+			services = append(services, service)
+		}
+	}
+	m.changed(services)
+}
+
+func (m *members) tick() {
+	m.locked(func(t *membership.Table) []membership.Message { return t.Tick(m.now()) })
+}
+
+// listen reads packets until the socket is closed.
+func (m *members) listen() {
+	buffer := make([]byte, maxPacketBytes)
+	for {
+		n, from, err := m.socket.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		m.receive(from.String(), buffer[:n])
+	}
+}
+
+func (m *members) receive(from string, data []byte) {
+	m.metrics.Packets.Add("received", 1)
+	m.metrics.Packets.Add("received-bytes", int64(len(data)))
+	m.locked(func(t *membership.Table) []membership.Message {
+		messages, err := t.Receive(m.now(), from, data)
+		if err != nil {
+			m.metrics.BadInput.Add("packet", 1)
+		}
+		return messages
+	})
+}
+
+// exchange swaps whole tables with the node at the address.
+func (m *members) exchange(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	m.mu.Lock()
+	snapshot := m.mu.table.Snapshot(m.now())
+	m.mu.Unlock()
+	client := peer.NewPeerProtobufClient("http://"+address, m.http)
+	reply, err := client.ExchangeMembers(ctx, &peer.ExchangeMembersRequest{Packet: snapshot})
+	if err != nil {
+		return errors.Wrapf(err, "exchange members with %s", address)
+	}
+	_, err = m.merge(reply.Packet)
+	return err
+}
+
+// merge takes in a peer's whole table and returns the own one.
+func (m *members) merge(packet []byte) ([]byte, error) {
+	var reply []byte
+	var failure error
+	m.locked(func(t *membership.Table) []membership.Message {
+		reply, failure = t.Merge(m.now(), packet)
+		return nil
+	})
+	if failure != nil {
+		m.metrics.BadInput.Add("members", 1)
+	}
+	return reply, failure
+}
+
+// unreachable makes the table probe an instance that took no connection.
+func (m *members) unreachable(id fleet.InstanceID) {
+	m.locked(func(t *membership.Table) []membership.Message { return t.NoteUnreachable(m.now(), id) })
+}
+
+func (m *members) setTarget(service string, slots int, state fleet.State) {
+	m.locked(func(t *membership.Table) []membership.Message { return t.SetTarget(m.now(), service, slots, state) })
+}
+
+func (m *members) setConfigVersion(version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mu.table.SetConfigVersion(version)
+}
+
+func (m *members) leave() {
+	m.locked(func(t *membership.Table) []membership.Message { return t.Leave(m.now()) })
+}
+
+func (m *members) instances(service string) []fleet.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mu.table.Instances(service)
+}
+
+func (m *members) all() []fleet.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mu.table.All()
+}
+
+func (m *members) len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mu.table.Len()
+}
--- /dev/null
+++ b/agent/metrics/metrics.go
@@ -0,0 +1,115 @@
+// Package metrics counts what a daemon does, as expvar variables.
+//
+// The variables belong to a Set rather than to the process, so that several
+// agents can run in one test process; Handler serves them in expvar's format.
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+
+	"github.com/gypsumford/gypsumford/call"
+)
+
+// Set holds the counters of one agent. Every counter grows from 0 at the start
+// of the process.
+type Set struct {
+	Entered    *expvar.Map // calls received from callers and from the own target, by class
+	Outcomes   *expvar.Map // answers to those, by "class/outcome"
+	Refusals   *expvar.Map // answers to those that were not run, by "class/reason"
+	Delivered  *expvar.Map // calls of peers and own ones for the own target, by outcome
+	Attempts   *expvar.Int // calls handed to the own target
+	Retries    *expvar.Map // calls sent again, by reason
+	Hedges     *expvar.Int // second tries sent beside a slow first one
+	BadInput   *expvar.Map // input refused, by where it came from
+	Probes     *expvar.Int // health probes sent to the own target
+	Platform   *expvar.Map // calls to the platform, by kind and result
+	Packets    *expvar.Map // membership packets and bytes, by direction
+	Claims     *expvar.Map // claims of idempotency keys, by result
+	Config     *expvar.Map // configurations offered, by result
+	Membership *expvar.Map // changes of members, by state
+	gauges     []gauge
+	names      []string
+	byName     map[string]expvar.Var
+}
+
+type gauge struct {
+	name string
+	read func() int64
+}
+
+// NewSet returns a set with all counters at 0.
+func NewSet() *Set {
+	s := &Set{byName: map[string]expvar.Var{}}
+	s.Entered = s.newMap("calls_entered")
+	s.Outcomes = s.newMap("calls_outcome")
+	s.Refusals = s.newMap("calls_refused")
+	s.Delivered = s.newMap("calls_delivered")
+	s.Attempts = s.newInt("target_attempts")
+	s.Retries = s.newMap("calls_retried")
+	s.Hedges = s.newInt("calls_hedged")
+	s.BadInput = s.newMap("bad_input")
+	s.Probes = s.newInt("target_probes")
+	s.Platform = s.newMap("platform_calls")
+	s.Packets = s.newMap("membership_packets")
+	s.Claims = s.newMap("claims")
+	s.Config = s.newMap("config_offers")
+	s.Membership = s.newMap("membership_changes")
+	return s
+}
+
+// Gauge adds a value that is read whenever the set is served. Call it before
+// the set is served.
+func (s *Set) Gauge(name string, read func() int64) {
+	s.gauges = append(s.gauges, gauge{name, read})
+}
+
+// CountOutcome counts the answer to one call of the class.
+func (s *Set) CountOutcome(class string, outcome call.Outcome, reason call.Reason) {
+	s.Outcomes.Add(class+"/"+outcome.String(), 1)
+	if outcome == call.NotRun {
+		s.Refusals.Add(class+"/"+reason.String(), 1)
+	}
+}
+
+// Value returns a counter of a map, 0 if it never grew.
+func Value(m *expvar.Map, key string) uint64 {
+	counter, ok := m.Get(key).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return uint64(counter.Value())
+}
+
+// Handler serves the set, and the process's own expvar variables, as JSON.
+func (s *Set) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		fmt.Fprint(w, "{")
+		for _, name := range s.names {
+			fmt.Fprintf(w, "\n%q: %s,", name, s.byName[name])
+		}
+		for _, g := range s.gauges {
+			fmt.Fprintf(w, "\n%q: %d,", g.name, g.read())
+		}
+		fmt.Fprintf(w, "\n%q: %s\n}\n", "memstats", expvar.Get("memstats"))
+	})
+}
+
+func (s *Set) newMap(name string) *expvar.Map {
+	m := new(expvar.Map).Init()
+	s.add(name, m)
+	return m
+}
+
+func (s *Set) newInt(name string) *expvar.Int {
+	i := new(expvar.Int)
+	s.add(name, i)
+	return i
+}
+
+func (s *Set) add(name string, v expvar.Var) {
+	s.names = append(s.names, name)
+	s.byName[name] = v
+}
--- /dev/null
+++ b/agent/seeds.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/api/platform"
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/membership"
+)
+
+const (
+	// joinRetry is the pause between two tries to join.
+	joinRetry = 500 * time.Millisecond
+	// maxSeedObjects bounds the seed objects that a joining node reads.
+	maxSeedObjects = 16
+	// maxSeedWrites bounds the tries to write one seed object at one refresh.
+	maxSeedWrites = 3
+)
+
+// seeds finds peers for a joining node and keeps the platform's seed objects
+// fresh.
+type seeds struct {
+	now      func() time.Time
+	self     fleet.Instance
+	static   []string // addresses from the settings
+	platform *platformCalls
+	members  *members
+}
+
+// join exchanges tables with peers until one has answered, or until the
+// platform has shown that there are none.
+func (s *seeds) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.tryStatic(ctx) {
+			return
+		}
+		if joined, known := s.tryPlatform(ctx); joined || known {
+			return
+		}
+		pause(ctx, joinRetry)
+	}
+}
+
+func (s *seeds) tryStatic(ctx context.Context) bool {
+	joined := false
+	for _, address := range s.static {
+		joined = s.tryAddress(ctx, address) || joined
+	}
+	return joined
+}
+
+func (s *seeds) tryAddress(ctx context.Context, address string) bool {
+	return address != s.self.PeerAddress && s.members.exchange(ctx, address) == nil
+}
+
+// tryPlatform tries the seeds of the own failure domain first. alone is true
+// if the platform answered and lists no seed but this node.
+func (s *seeds) tryPlatform(ctx context.Context) (joined, alone bool) {
+	addresses, err := s.listed(ctx)
+	if err != nil {
+		return false, false
+	}
+	alone = len(s.static) == 0
+	for _, address := range addresses {
+		alone = alone && address == s.self.PeerAddress
+		if s.tryAddress(ctx, address) {
+			return true, false
+		}
+	}
+	return false, alone
+}
+
+// listed reads addresses from seed objects, those of the own domain first.
+func (s *seeds) listed(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	keys := membership.SeedKeys(s.self.FailureDomain)
+	all, err := s.platform.list(ctx, membership.SeedPrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, object := range all {
+		keys = append(keys, object.Key)
+	}
+	var addresses []string
+	read := map[string]bool{}
+	for _, key := range keys {
+		if read[key] || len(read) == maxSeedObjects {
+			continue
+		}
+		read[key] = true
+		found, _, err := s.read(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, found...)
+	}
+	return addresses, nil
+}
+
+// read returns the addresses in a seed object and its version, 0 if absent.
+func (s *seeds) read(ctx context.Context, key string) ([]string, uint64, error) {
+	object, err := s.platform.get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	addresses, err := membership.DecodeSeed(object.Value)
+	if err != nil {
+		s.members.metrics.BadInput.Add("seed", 1)
+		return nil, object.Version, nil // the next refresh replaces it
+	}
+	return addresses, object.Version, nil
+}
+
+// refresh writes the seed objects that are this node's to keep, and meets the
+// nodes in them that it did not know of.
+func (s *seeds) refresh(ctx context.Context) {
+	s.members.mu.Lock()
+	writes := s.members.mu.table.SeedWrites(s.now())
+	s.members.mu.Unlock()
+	for _, write := range writes {
+		s.refreshOne(ctx, write)
+	}
+}
+
+// refreshOne writes one seed object. When another node wrote it meanwhile, that
+// node is met and the write tried again.
+func (s *seeds) refreshOne(ctx context.Context, write membership.SeedWrite) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	for range maxSeedWrites {
+		addresses, version, err := s.read(ctx, write.Key)
+		if err != nil {
+			return // tried again at the next refresh
+		}
+		s.meet(ctx, addresses)
+		_, err = s.platform.put(ctx, write.Key, write.Value, version)
+		if errors.Is(err, platform.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return
+		}
+		s.members.mu.Lock()
+		s.members.mu.table.SeedWritten(s.now(), write.Key)
+		s.members.mu.Unlock()
+		return
+	}
+}
+
+// meet exchanges tables with the nodes at those addresses that are not known.
+func (s *seeds) meet(ctx context.Context, addresses []string) {
+	for _, address := range addresses {
+		if !s.knows(address) {
+			_ = s.members.exchange(ctx, address) // it may be gone; gossip goes on without it
+		}
+	}
+}
+
+func (s *seeds) knows(address string) bool {
+	s.members.mu.Lock()
+	defer s.members.mu.Unlock()
+	return s.members.mu.table.Knows(address)
+}
+
+// exchangeDue exchanges tables with a peer if the table asks for it.
+func (s *seeds) exchangeDue(ctx context.Context) {
+	s.members.mu.Lock()
+	address, due := s.members.mu.table.ExchangeWith()
+	s.members.mu.Unlock()
+	if due {
+		_ = s.members.exchange(ctx, address) // the table asks again if it still needs one
+	}
+}
--- /dev/null
+++ b/agent/server.go
@@ -0,0 +1,245 @@
+package agent
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/gypsumford/gypsumford/agent/exchange"
+	"github.com/gypsumford/gypsumford/agent/link"
+	"github.com/gypsumford/gypsumford/call"
+	"github.com/gypsumford/gypsumford/callhttp"
+	"github.com/gypsumford/gypsumford/claim"
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/inventory"
+	"github.com/gypsumford/gypsumford/rpc/operator"
+	"github.com/gypsumford/gypsumford/rpc/peer"
+)
+
+const (
+	// maxIssuedKeys bounds the keys that one request can ask for.
+	maxIssuedKeys = 1000
+	// callPrefix begins the paths of calls.
+	callPrefix = "/call/"
+)
+
+// callRouter serves callers and the own target.
+func (a *Agent) callRouter() http.Handler {
+	r := chi.NewRouter()
+	r.HandleFunc(callPrefix+"{service}/{operation}", a.handleCall)
+	r.HandleFunc(callPrefix+"{service}/{operation}/*", a.handleCall)
+	r.Post("/target/announce", a.handleAnnounce)
+	r.Post("/keys/{service}", a.handleKeys)
+	r.Get("/healthz", handleAlive)
+	r.Get("/readyz", a.handleReady)
+	return r
+}
+
+// peerRouter serves other nodes, operators and monitoring.
+func (a *Agent) peerRouter() http.Handler {
+	r := chi.NewRouter()
+	r.HandleFunc(link.DeliverPath+"{service}/{operation}", a.handleDeliver)
+	r.HandleFunc(link.DeliverPath+"{service}/{operation}/*", a.handleDeliver)
+	r.HandleFunc(link.HomePath+"{service}/{operation}", a.handleHome)
+	r.HandleFunc(link.HomePath+"{service}/{operation}/*", a.handleHome)
+	r.Mount(operator.OperatorPathPrefix, operator.NewOperatorServer(&operatorServer{agent: a}))
+	r.Mount(peer.PeerPathPrefix, peer.NewPeerServer(&peerServer{agent: a}))
+	r.Get("/healthz", handleAlive)
+	r.Get("/readyz", a.handleReady)
+	r.Handle("/debug/vars", a.metrics.Handler())
+	return r
+}
+
+func handleAlive(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func (a *Agent) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !a.ready() || a.target.isDraining() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// handleCall serves a call of a caller or a child call of the own target.
+func (a *Agent) handleCall(w http.ResponseWriter, r *http.Request) {
+	in, err := readIncoming(r)
+	if err != nil {
+		a.refuseInput(w, "call", err)
+		return
+	}
+	a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	reply := a.entry.serve(r.Context(), in)
+	exchange.Write(w, in.fields.RequestID, reply)
+}
+
+func readIncoming(r *http.Request) (*incoming, error) {
+	fields, err := callhttp.ReadFields(r.Header)
+	if err != nil {
+		return nil, err
+	}
+	service, operation := chi.URLParam(r, "service"), chi.URLParam(r, "operation")
+	if len(service) > callhttp.MaxNameBytes || len(operation) > callhttp.MaxNameBytes {
+		return nil, errors.Newf("path: service and operation have at most %d characters each", callhttp.MaxNameBytes)
+	}
+	request, err := readRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	return &incoming{service: service, operation: operation, fields: fields, request: request}, nil
+}
+
+// readRequest reads what the target needs. The body is read whole, as only then
+// net/http notices that the sender goes away.
+func readRequest(r *http.Request) (*exchange.Request, error) {
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	return &exchange.Request{
+		Method: r.Method, Rest: restOf(r.URL), Query: r.URL.RawQuery, Header: r.Header, Body: body,
+	}, nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength > callhttp.MaxBodyBytes {
+		return nil, errors.Newf("body: over %d bytes", callhttp.MaxBodyBytes)
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, callhttp.MaxBodyBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "body")
+	}
+	if len(body) > callhttp.MaxBodyBytes {
+		return nil, errors.Newf("body: over %d bytes", callhttp.MaxBodyBytes)
+	}
+	return body, nil
+}
+
+// restOf returns the path below /kind/service/operation.
+func restOf(u *url.URL) string {
+	const fixedParts = 4 // an empty one, kind, service, operation
+	parts := strings.SplitN(u.Path, "/", fixedParts+1)
+	if len(parts) <= fixedParts {
+		return ""
+	}
+	return "/" + parts[fixedParts]
+}
+
+// refuseInput answers a malformed call: it was not run and never will be.
+func (a *Agent) refuseInput(w http.ResponseWriter, source string, err error) {
+	a.metrics.BadInput.Add(source, 1)
+	w.Header().Set(callhttp.HeaderOutcome, call.NotRun.String())
+	http.Error(w, err.Error(), http.StatusBadRequest)
+}
+
+// handleDeliver serves a peer's call for the own target.
+func (a *Agent) handleDeliver(w http.ResponseWriter, r *http.Request) {
+	request, ok := a.readPeerCall(w, r)
+	if !ok {
+		return
+	}
+	a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	exchange.WriteToPeer(w, request.Call.Request, a.delivery.serve(r.Context(), request))
+}
+
+// handleHome serves a peer's call whose key has its home here.
+func (a *Agent) handleHome(w http.ResponseWriter, r *http.Request) {
+	request, ok := a.readPeerCall(w, r)
+	if !ok {
+		return
+	}
+	key, err := claim.ParseKey(request.Call.Key)
+	if err != nil {
+		a.refuseInput(w, "key", err)
+		return
+	}
+	op := a.operationOf(&request.Call)
+	if op == nil || !op.AtMostOnce {
+		refusal := exchange.Refuse(call.ReasonUnknownOperation, 0, request.Call.Grant)
+		exchange.WriteToPeer(w, request.Call.Request, refusal)
+		return
+	}
+	a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	key = key.For(request.Call.Caller, request.Call.Operation)
+	exchange.WriteToPeer(w, request.Call.Request, a.paid.serve(r.Context(), request, op, key))
+}
+
+func (a *Agent) operationOf(c *call.Call) *inventory.Operation {
+	config := a.inForce.get()
+	if config == nil {
+		return nil
+	}
+	return config.operation(c.Service, c.Operation)
+}
+
+// readPeerCall reads a call with its envelope. A call that was meant for another
+// instance, as one that had this address before, is refused as not run.
+func (a *Agent) readPeerCall(w http.ResponseWriter, r *http.Request) (*exchange.Request, bool) {
+	envelope, err := callhttp.ReadEnvelope(r.Header, a.now())
+	if err != nil {
+		a.refuseInput(w, "peer-call", err)
+		return nil, false
+	}
+	request, err := readRequest(r)
+	if err != nil {
+		a.refuseInput(w, "peer-call", err)
+		return nil, false
+	}
+	request.Call = envelope.Call
+	request.Call.Service = chi.URLParam(r, "service")
+	request.Call.Operation = chi.URLParam(r, "operation")
+	a.ring.observe(envelope.Lamport)
+	if envelope.Instance != a.self.ID {
+		refusal := exchange.Refuse(call.ReasonDraining, 0, request.Call.Grant)
+		exchange.WriteToPeer(w, request.Call.Request, refusal)
+		return nil, false
+	}
+	return request, true
+}
+
+// issuedKeys is the answer to POST /keys/{service}.
+type issuedKeys struct {
+	Node fleet.InstanceID `json:"node"`
+	Keys []string         `json:"keys"`
+}
+
+// handleKeys issues idempotency keys that only this process can run. A node
+// whose target is of another service passes the request on to one of the service.
+func (a *Agent) handleKeys(w http.ResponseWriter, r *http.Request) {
+	count, err := readCount(r.URL.Query().Get("count"))
+	if err != nil {
+		a.refuseInput(w, "keys", err)
+		return
+	}
+	service := chi.URLParam(r, "service")
+	keys, node, err := a.issueKeys(r.Context(), service, count)
+	if err != nil {
+		callhttp.WriteRetryAfter(w.Header(), noTargetRetryAfter)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(issuedKeys{Node: node, Keys: keys})
+}
+
+func readCount(text string) (int, error) {
+	if text == "" {
+		return 1, nil
+	}
+	count, err := strconv.Atoi(text)
+	if err != nil || count < 1 || count > maxIssuedKeys {
+		return 0, errors.Newf("count: want a number from 1 to %d", maxIssuedKeys)
+	}
+	return count, nil
+}
--- /dev/null
+++ b/agent/tables.go
@@ -0,0 +1,264 @@
+package agent
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumford/gypsumford/admission"
+	"github.com/gypsumford/gypsumford/attempt"
+	"github.com/gypsumford/gypsumford/call"
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/inventory"
+	"github.com/gypsumford/gypsumford/routing"
+	"github.com/gypsumford/gypsumford/timeline"
+)
+
+// configuration is an inventory in force, indexed for the path of a call.
+type configuration struct {
+	version   uint64
+	inventory *inventory.Inventory
+	services  map[string]*serviceIndex
+}
+
+type serviceIndex struct {
+	service    *inventory.Service
+	operations map[string]*inventory.Operation
+}
+
+func indexConfiguration(version uint64, inv *inventory.Inventory) *configuration {
+	c := &configuration{version: version, inventory: inv, services: make(map[string]*serviceIndex, len(inv.Services))}
+	for i := range inv.Services {
+		service := &inv.Services[i]
+		index := &serviceIndex{service: service, operations: make(map[string]*inventory.Operation, len(service.Operations))}
+		for j := range service.Operations {
+			index.operations[service.Operations[j].Name] = &service.Operations[j]
+		}
+		c.services[service.Name] = index
+	}
+	return c
+}
+
+// operation returns the operation of a call, or nil.
+func (c *configuration) operation(service, operation string) *inventory.Operation {
+	index := c.services[service]
+	if index == nil {
+		return nil
+	}
+	return index.operations[operation]
+}
+
+// unranked stands for the class of a call that the inventory doesn't rank.
+const unranked = "unranked"
+
+// className returns the inventory's name of a class.
+func (c *configuration) className(class call.Class) string {
+	if c == nil || int(class) >= len(c.inventory.Classes) {
+		return unranked
+	}
+	return c.inventory.Classes[class]
+}
+
+// inForce holds the configuration in force; it is swapped whole.
+type inForce struct {
+	current atomic.Pointer[configuration]
+}
+
+func (f *inForce) get() *configuration  { return f.current.Load() }
+func (f *inForce) set(c *configuration) { f.current.Store(c) }
+
+// version returns the version in force, 0 if there is none.
+func (f *inForce) version() uint64 {
+	if c := f.get(); c != nil {
+		return c.version
+	}
+	return 0
+}
+
+// routeTable guards the choice of targets.
+type routeTable struct {
+	mu    sync.Mutex
+	table *routing.Table
+}
+
+func (t *routeTable) setService(name string, config routing.ServiceConfig) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.SetService(name, config)
+}
+
+func (t *routeTable) hedged(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Hedged(service)
+}
+
+func (t *routeTable) setInstances(now time.Time, service string, list []fleet.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.SetInstances(now, service, list)
+}
+
+// begin chooses an instance and notes that a call goes there.
+func (t *routeTable) begin(now time.Time, service string, ask routing.Ask) (fleet.Instance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	chosen, ok := t.table.Choose(now, service, ask)
+	if ok {
+		t.table.Begin(now, chosen.ID)
+	}
+	return chosen, ok
+}
+
+func (t *routeTable) end(now time.Time, id fleet.InstanceID, s routing.Sample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.End(now, id, s)
+}
+
+func (t *routeTable) hedgeAfter(now time.Time, service, operation string) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.HedgeAfter(now, service, operation)
+}
+
+// levelTable guards the levels learned from answers.
+type levelTable struct {
+	mu     sync.Mutex
+	levels *admission.Levels
+}
+
+func (t *levelTable) check(now time.Time, c *call.Call) admission.LevelVerdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.levels.Check(now, c.Service, c.Operation, c.Caller, c.Priority())
+}
+
+func (t *levelTable) observe(now time.Time, c *call.Call, level call.Level) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.levels.Observe(now, c.Service, c.Operation, c.Caller, level)
+}
+
+// attemptTable guards learned needs of attempts and the retry budgets, one a
+// called service.
+type attemptTable struct {
+	mu      sync.Mutex
+	needs   *attempt.Needs
+	budgets map[string]*attempt.Budget
+}
+
+func newAttemptTable() *attemptTable {
+	return &attemptTable{needs: attempt.NewNeeds(), budgets: make(map[string]*attempt.Budget)}
+}
+
+func (t *attemptTable) share(service, operation string, left int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.needs.Share(service, operation, left)
+}
+
+// completed notes a completed call and the attempts that it took.
+func (t *attemptTable) completed(now time.Time, c *call.Call, spent, percent int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.needs.Observe(c.Service, c.Operation, spent)
+	t.budget(c.Service, percent).OnSuccess(now)
+}
+
+func (t *attemptTable) tryRetry(now time.Time, service string, percent int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.budget(service, percent).TryRetry(now)
+}
+
+// budget returns the service's budget. Only services of the inventory get one,
+// so their number is bounded.
+func (t *attemptTable) budget(service string, percent int) *attempt.Budget {
+	b := t.budgets[service]
+	if b == nil {
+		fresh := attempt.NewBudget(percent)
+		b = &fresh
+		t.budgets[service] = b
+	}
+	b.SetPercent(percent)
+	return b
+}
+
+// ringTable guards the time line's ring.
+type ringTable struct {
+	mu   sync.Mutex
+	ring *timeline.Ring
+	now  func() time.Time
+}
+
+func (t *ringTable) record(e timeline.Event) {
+	e.Time = t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ring.Record(e)
+}
+
+// call records an event of a call.
+func (t *ringTable) call(kind timeline.Kind, c *call.Call, class, detail string) {
+	t.record(timeline.Event{
+		Kind: kind, Request: c.Request, Service: c.Service,
+		Operation: c.Operation, Class: class, Detail: detail,
+	})
+}
+
+func (t *ringTable) observe(lamport uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ring.Observe(lamport)
+}
+
+func (t *ringTable) lamport() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ring.Lamport()
+}
+
+func (t *ringTable) after(sequence uint64, filter timeline.Filter, limit int) ([]timeline.Event, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ring.After(sequence, filter, limit)
+}
+
+// directory finds live instances by id and by service.
+type directory struct {
+	mu        sync.RWMutex
+	byID      map[fleet.InstanceID]fleet.Instance
+	byService map[string][]fleet.Instance
+}
+
+func newDirectory() *directory {
+	return &directory{byID: make(map[fleet.InstanceID]fleet.Instance), byService: make(map[string][]fleet.Instance)}
+}
+
+// set replaces what is known of one service's instances.
+func (d *directory) set(service string, list []fleet.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, old := range d.byService[service] {
+		delete(d.byID, old.ID)
+	}
+	for _, instance := range list {
+		d.byID[instance.ID] = instance
+	}
+	d.byService[service] = list
+}
+
+func (d *directory) instance(id fleet.InstanceID) (fleet.Instance, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	instance, ok := d.byID[id]
+	return instance, ok
+}
+
+// service returns the instances of a service. The caller must not change them.
+func (d *directory) service(name string) []fleet.Instance {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.byService[name]
+}
--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -1,4 +1,40 @@
 // Command gypsumd is the node daemon that runs beside each target instance.
 package main
 
-func main() {}
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+
+	"github.com/gypsumford/gypsumford/agent"
+	"github.com/gypsumford/gypsumford/settings"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	set := settings.New("gypsumd", os.Getenv)
+	set.Describe("gypsumd is the node daemon beside one target instance.",
+		"SIGTERM and SIGINT stop it gracefully: no call in flight is cut off.")
+	parsed := agent.DeclareSettings(set)
+	if err := set.Parse(os.Args[1:]); err != nil {
+		return set.Report(err, os.Stdout, os.Stderr)
+	}
+	log := logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	node, err := agent.New(parsed, log)
+	if err != nil {
+		log.Error(err, "node can't start")
+		return 1
+	}
+	if err := node.Run(ctx); err != nil {
+		log.Error(err, "node failed")
+		return 1
+	}
+	return 0
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -52,7 +52,7 @@
 
 	lastSync     time.Duration
 	syncSequence uint32 // of the comparison that the node started last
-	catchingUp   bool // since a pause, until a table was compared
+	catchingUp   bool   // since a pause, until a table was compared
 	exchangeWith string
 	lastExchange time.Duration
 
