Add the stand-ins of platform and targets, the load source and the scenario runner

Cause: the decisions must be measured over real processes, with and without the layer in the same run. Ruled out: journals read by HTTP at the end, since a killed target loses them.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,18 @@
 	go generate $(PACKAGES)
 
 check: format lint test
+
+# The stand-ins and runner of scenarios: demo shows one, bench measures all, or
+# the files of SCENARIO=path.
+SCENARIO ?= standin/scenarios
+
+.PHONY: standin demo bench
+
+standin: build
+	go build -o bin/ ./standin/cmd/standin
+
+demo: standin
+	bin/standin demo -out out/demo standin/scenarios/demo/lindenhuber.scenario
+
+bench: standin
+	bin/standin run -out out $(SCENARIO)
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,61 @@
+// Command standin is the test bench: the stand-ins of the platform and of
+// targets as processes, and the runner of scenarios.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+const usage = `usage: standin VERB [flags] [arguments]
+
+verbs:
+  platform   serve the object API in memory
+  target     serve one target
+  run        run scenario files with and without the layer, print figures
+  demo       run one scenario with the layer, print a table and the promises
+  check      read scenario files and report what is wrong with them
+
+Each verb takes -help. Scenario files are described in scenarios/README.md.
+`
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run carries out one verb and returns the exit code.
+func run(args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		_, _ = fmt.Fprint(stderr, usage)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	verbs := map[string]func(context.Context, []string, io.Writer) error{
+		"platform": servePlatform,
+		"target":   serveTarget,
+		"run":      runScenarios,
+		"demo":     demo,
+		"check":    check,
+	}
+	verb := verbs[args[0]]
+	if verb == nil {
+		_, _ = fmt.Fprint(stderr, usage)
+		return exitUsage
+	}
+	if err := verb(ctx, args[1:], stdout); err != nil {
+		_, _ = fmt.Fprintf(stderr, "standin %s: %v\n", args[0], err)
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/standin/cmd/standin/run.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/standin/bench"
+	"github.com/gypsumford/gypsumford/standin/scenario"
+)
+
+// runFlags are the flags of the verbs that run scenarios.
+type runFlags struct {
+	gypsumd string
+	out     string
+	only    string
+	verbose bool
+}
+
+func parseRunFlags(verb string, args []string) (runFlags, []string) {
+	var f runFlags
+	flags := flag.NewFlagSet(verb, flag.ExitOnError)
+	flags.StringVar(&f.gypsumd, "gypsumd", "bin/gypsumd", "path of the daemon")
+	flags.StringVar(&f.out, "out", "out", "directory for logs, journals and bench.json")
+	flags.StringVar(&f.only, "only", "", "run only with or only without the layer: with, without")
+	flags.BoolVar(&f.verbose, "v", false, "print a line each second, and tables")
+	_ = flags.Parse(args)
+	return f, flags.Args()
+}
+
+// runScenarios runs each file and prints one line a figure. A directory stands
+// for the scenario files in it.
+func runScenarios(ctx context.Context, args []string, stdout io.Writer) error {
+	flags, paths := parseRunFlags("run", args)
+	files, err := scenarioFiles(paths)
+	if err != nil {
+		return err
+	}
+	var lines []bench.Line
+	var failures error
+	for _, file := range files {
+		some, err := runScenario(ctx, flags, file, stdout)
+		lines = append(lines, some...)
+		if err != nil {
+			failures = errors.CombineErrors(failures, errors.Wrapf(err, "%s", file))
+			_, _ = fmt.Fprintf(stdout, "failed: %s: %v\n", file, err)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return errors.CombineErrors(failures, bench.WriteLines(filepath.Join(flags.out, "bench.json"), lines))
+}
+
+func runScenario(ctx context.Context, flags runFlags, file string, stdout io.Writer) ([]bench.Line, error) {
+	s, err := bench.LoadScenario(file)
+	if err != nil {
+		return nil, err
+	}
+	_, _ = fmt.Fprintf(stdout, "# %s\n", s.Name)
+	var with, without *bench.Result
+	if flags.only != "with" {
+		if without, err = runOnce(ctx, flags, s, true, stdout); err != nil {
+			return nil, err
+		}
+	}
+	if flags.only != "without" {
+		if with, err = runOnce(ctx, flags, s, false, stdout); err != nil {
+			return nil, err
+		}
+	}
+	lines := bench.Lines(s, with, without)
+	for _, line := range lines {
+		_, _ = fmt.Fprintln(stdout, line)
+	}
+	if with != nil && len(s.Promises) > 0 {
+		_, _ = fmt.Fprintln(stdout, "promises:")
+		bench.PrintPromises(stdout, with)
+	}
+	return lines, nil
+}
+
+func runOnce(ctx context.Context, flags runFlags, s *scenario.Scenario, plain bool, stdout io.Writer) (*bench.Result, error) {
+	title := "with the layer"
+	directory := filepath.Join(flags.out, s.Name, "with")
+	if plain {
+		title = "without the layer"
+		directory = filepath.Join(flags.out, s.Name, "without")
+	}
+	standin, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	options := bench.Options{Gypsumd: flags.gypsumd, Standin: standin, Directory: directory, Plain: plain}
+	if flags.verbose {
+		options.Out = stdout
+		_, _ = fmt.Fprintf(stdout, "%s, %s\n", s.Name, title)
+	}
+	result, err := bench.Run(ctx, s, options)
+	if err != nil {
+		return nil, err
+	}
+	bench.PrintTable(stdout, title, result)
+	return result, nil
+}
+
+// errPromise: a run broke what the product promises.
+var errPromise = errors.New("a promise was broken")
+
+// demo runs one scenario with the layer and fails if a promise was broken.
+func demo(ctx context.Context, args []string, stdout io.Writer) error {
+	flags, files := parseRunFlags("demo", args)
+	if len(files) != 1 {
+		return errors.New("want one scenario file")
+	}
+	s, err := bench.LoadScenario(files[0])
+	if err != nil {
+		return err
+	}
+	flags.verbose = true
+	result, err := runOnce(ctx, flags, s, false, stdout)
+	if err != nil {
+		return err
+	}
+	for _, line := range bench.Lines(s, result, nil) {
+		_, _ = fmt.Fprintf(stdout, "  %s\n", line)
+	}
+	if !bench.PrintPromises(stdout, result) {
+		return errPromise
+	}
+	return nil
+}
+
+// check reads scenario files and reports all findings.
+func check(_ context.Context, args []string, stdout io.Writer) error {
+	files, err := scenarioFiles(args)
+	if err != nil {
+		return err
+	}
+	var failures error
+	for _, file := range files {
+		if _, err := bench.LoadScenario(file); err != nil {
+			_, _ = fmt.Fprintln(stdout, err)
+			failures = errors.New("there are findings")
+		}
+	}
+	return failures
+}
+
+func scenarioFiles(paths []string) ([]string, error) {
+	var files []string
+	for _, path := range paths {
+		info, err := os.Stat(path)
+		if err != nil {
+			return nil, err
+		}
+		if !info.IsDir() {
+			files = append(files, path)
+			continue
+		}
+		some, err := bench.ScenarioFiles(path)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, some...)
+	}
+	if len(files) == 0 {
+		return nil, errors.New("want scenario files or a directory of them")
+	}
+	return files, nil
+}
--- a/standin/deps/deps.go
+++ b/standin/deps/deps.go
@@ -3,7 +3,6 @@
 package deps
 
 import (
-	_ "github.com/gypsumford/gypsumford/call"
 	_ "github.com/HdrHistogram/hdrhistogram-go"
 	_ "github.com/ThreeDotsLabs/watermill"
 	_ "github.com/ThreeDotsLabs/watermill/message"
@@ -14,6 +13,7 @@
 	_ "github.com/go-chi/chi/v5"
 	_ "github.com/go-logr/logr"
 	_ "github.com/google/uuid"
+	_ "github.com/gypsumford/gypsumford/call"
 	_ "github.com/rogpeppe/go-internal/testscript"
 	_ "github.com/smartystreets/goconvey/convey"
 	_ "github.com/twitchtv/twirp"
--- /dev/null
+++ b/standin/scenario/action.go
@@ -0,0 +1,84 @@
+package scenario
+
+import (
+	"slices"
+	"time"
+)
+
+// Verbs of actions.
+const (
+	VerbSlow       = "slow"       // slow TARGETS xN
+	VerbFreeze     = "freeze"     // freeze TARGETS
+	VerbThaw       = "thaw"       // thaw TARGETS
+	VerbShed       = "shed"       // shed TARGETS 30%
+	VerbDrop       = "drop"       // drop TARGETS 30%
+	VerbReport     = "report"     // report TARGETS true|stuck|lie|late [2s]
+	VerbStragglers = "stragglers" // stragglers SERVICE/OPERATION 1/100 xN, or off
+	VerbKill       = "kill"       // kill PROCESS
+	VerbStop       = "stop"       // stop PROCESS (SIGSTOP)
+	VerbContinue   = "continue"   // continue PROCESS
+	VerbTerminate  = "terminate"  // terminate PROCESS (SIGTERM)
+	VerbStart      = "start"      // start PROCESS
+	VerbReplace    = "replace"    // replace PROCESS: kill, and start after a pause
+	VerbPlatform   = "platform"   // platform up|down|hang|slow|lose-answers|late-effect [P%] [DELAY]
+)
+
+// Kinds of processes that a statement may name: node NAME, target NAME, or
+// instance NAME for both. NAME is SERVICE-N, or SERVICE-next for another one
+// at each repetition.
+var processKinds = []string{"node", "target", "instance"}
+
+var reportModes = []string{"true", "stuck", "lie", "late"}
+
+var platformFaults = []string{"up", "down", "hang", "slow", "lose-answers", "late-effect"}
+
+// action reads the rest of an at or every statement.
+func (p *parser) action(at time.Duration) {
+	a := Action{At: at, Line: p.line, Verb: p.word("action")}
+	switch a.Verb {
+	case VerbSlow:
+		a.Object = p.word("targets")
+		a.Args = []string{p.peek()}
+		p.factor("factor")
+	case VerbFreeze, VerbThaw:
+		a.Object = p.word("targets")
+	case VerbShed, VerbDrop:
+		a.Object = p.word("targets")
+		a.Args = []string{p.peek()}
+		p.percent("share")
+	case VerbReport:
+		a.Object = p.word("targets")
+		a.Args = p.rest()
+		p.oneOf("report", a.Args, reportModes)
+	case VerbStragglers:
+		a.Object = p.word("operation")
+		a.Args = p.stragglers()
+	case VerbKill, VerbStop, VerbContinue, VerbTerminate, VerbStart, VerbReplace:
+		a.Args = []string{p.peek()}
+		p.oneOf("process", []string{p.word("kind of process")}, processKinds)
+		a.Object = p.word("name")
+	case VerbPlatform:
+		a.Args = p.rest()
+		p.oneOf("platform", a.Args, platformFaults)
+	default:
+		p.failf("unknown action %q", a.Verb)
+		p.rest()
+	}
+	p.scenario.Actions = append(p.scenario.Actions, a)
+}
+
+func (p *parser) stragglers() []string {
+	if p.peek() == "off" {
+		return p.rest()
+	}
+	args := append([]string{}, *p.words...)
+	p.oneIn()
+	p.factor("factor")
+	return args
+}
+
+func (p *parser) oneOf(what string, args, allowed []string) {
+	if len(args) == 0 || !slices.Contains(allowed, args[0]) {
+		p.failf("%s: want one of %v, found %v", what, allowed, args)
+	}
+}
