--- a/standin/bench/measure.go
+++ b/standin/bench/measure.go
@@ -61,9 +61,11 @@
 	case scenario.MeasureRefused:
 		return r.share(m, isRefused)
 	case scenario.MeasureP50:
-		return r.latency(m, 50)
+		return r.latency(m, 50, isWhole)
 	case scenario.MeasureP99:
-		return r.latency(m, 99)
+		return r.latency(m, 99, isWhole)
+	case scenario.MeasureShortP99:
+		return r.latency(m, 99, r.isShort())
 	case scenario.MeasureWasted:
 		return r.wasted(m)
 	case scenario.MeasureProbes:
@@ -160,12 +162,31 @@
 	return ratio(float64(r.countStarted(m, counts)), float64(r.countStarted(m, anyRecord)))
 }
 
-// latency returns a percentile of the whole requests' latency in milliseconds.
-func (r *Result) latency(m scenario.Measure, percentile float64) float64 {
+// isShort returns the filter of whole requests none of whose runs straggled.
+func (r *Result) isShort() func(*load.Record) bool {
+	straggled := map[string]bool{}
+	for _, run := range r.Runs {
+		if run.Straggler {
+			straggled[run.Request] = true
+		}
+	}
+	return func(record *load.Record) bool {
+		for _, ask := range record.Asks {
+			if straggled[ask.ID] {
+				return false
+			}
+		}
+		return isWhole(record)
+	}
+}
+
+// latency returns a percentile, in milliseconds, of the latency of the requests
+// that count.
+func (r *Result) latency(m scenario.Measure, percentile float64, counts func(*load.Record) bool) float64 {
 	from, to := r.span(m)
 	histogram := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
 	for _, record := range r.Records {
-		if within(record.Started, from, to) && matches(m, record) && isWhole(record) {
+		if within(record.Started, from, to) && matches(m, record) && counts(record) {
 			_ = histogram.RecordValue(record.Latency().Microseconds())
 		}
 	}
--- /dev/null
+++ b/standin/bench/measure_test.go
@@ -0,0 +1,97 @@
+package bench_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/standin/bench"
+	"github.com/gypsumford/gypsumford/standin/load"
+	"github.com/gypsumford/gypsumford/standin/scenario"
+	"github.com/gypsumford/gypsumford/standin/target"
+)
+
+const text = `
+name n
+length 10s
+classes a
+service s targets 2 slots 2
+operation s/x class a time 100ms paid
+load s/x from 0s 1/s
+phase all 0s 10s
+figure goodput 1/s goodput in all
+figure capacity 1/s capacity in all service s
+figure utilisation ratio utilisation in all service s
+figure first ratio first-ask in all
+figure wasted ratio wasted in all
+figure recovery s recovery after 2s
+figure attempts count attempts
+figure lost count lost
+figure doubled count doubled
+figure unknown count unknown
+figure notrun count notrun-ran
+figure half ratio goodput in all over capacity in all service s
+`
+
+var origin = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return origin.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func record(key string, start, end float64, asks ...load.Ask) *load.Record {
+	return &load.Record{Stream: &load.Stream{Operation: "s/x", Class: "a"}, Key: key, Started: at(start), Ended: at(end), Asks: asks}
+}
+
+func run(id, key string, start, end float64, whole bool) bench.TargetRun {
+	r := target.Run{Request: id, Key: key, Operation: "x", Started: at(start), Whole: whole}
+	if end > 0 {
+		r.Ended = at(end)
+	}
+	return bench.TargetRun{Run: r, Service: "s", Target: "s-1"}
+}
+
+func TestMeasures(t *testing.T) {
+	Convey("Given a run with one request of each fate", t, func() {
+		s, err := scenario.Parse("file", text)
+		So(err, ShouldBeNil)
+		result := &bench.Result{
+			Scenario: s, Start: origin,
+			Records: []*load.Record{
+				record("k1", 1, 1.5, load.Ask{ID: "r1", Result: load.Whole}),
+				record("k2", 2.1, 3, load.Ask{ID: "r2a", Result: load.TimedOut}, load.Ask{ID: "r2b", Result: load.Whole}),
+				record("k3", 2.4, 3, load.Ask{ID: "r3", Result: load.Refused}),
+				record("k4", 3.6, 4, load.Ask{ID: "r4", Result: load.Unknown}),
+				record("k5", 5, 5.1, load.Ask{ID: "r5", Result: load.Whole}),
+			},
+			Runs: []bench.TargetRun{
+				run("r1", "k1", 1, 2, true),
+				run("r2a", "k2", 2, 3, true),
+				run("r3", "k3", 2, 3, true), // although it was refused
+				run("r4", "k4", 3, 4, true),
+				run("r4", "k4", 3, 0, false), // a second time
+			},
+		}
+		values := map[string]float64{}
+		for _, line := range bench.Lines(s, result, nil) {
+			values[line.Figure] = *line.With
+		}
+		Convey("each figure tells its part", func() {
+			So(values, ShouldResemble, map[string]float64{
+				"goodput":     0.3, // r1, r2b, r5 in 10 s
+				"capacity":    40,
+				"utilisation": 2.0 / 40, // the runs of k1 and k2
+				"first":       0.4,
+				"wasted":      0.5,
+				"recovery":    0.5, // four buckets in a row after the one that k3 started in
+				"attempts":    1,    // the run that never ended is no proof of a second attempt
+				"lost":        1,    // k5
+				"doubled":     1,    // k4
+				"unknown":     1,
+				"notrun":      1,
+				"half":        0.3 / 40,
+			})
+		})
+	})
+}
--- a/standin/scenario/parse.go
+++ b/standin/scenario/parse.go
@@ -191,7 +191,7 @@
 }
 
 func (p *parser) service() {
-	service := Service{Name: p.word("service"), Targets: 1, Slots: 1, Queue: defaultQueue, Connections: defaultOpen, Drain: defaultDrain}
+	service := Service{Name: p.word("service"), Line: p.line, Targets: 1, Slots: 1, Queue: defaultQueue, Connections: defaultOpen, Drain: defaultDrain}
 	for p.more() {
 		switch word := p.word("field"); word {
 		case "targets":
@@ -226,7 +226,7 @@
 func (p *parser) operation() {
 	name := p.word("operation")
 	owner, short := cut(name)
-	operation := Operation{Name: short, Deadline: defaultDeadline, Repeatable: true}
+	operation := Operation{Name: short, Deadline: defaultDeadline, Repeatable: true, Line: p.line}
 	for p.more() {
 		switch word := p.word("field"); word {
 		case "class":
@@ -261,7 +261,7 @@
 }
 
 func (p *parser) load() {
-	load := Load{Operation: p.word("operation"), Asks: 1}
+	load := Load{Operation: p.word("operation"), Asks: 1, Line: p.line}
 	for p.more() {
 		switch word := p.word("field"); word {
 		case "caller":
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -40,6 +40,7 @@
 	ColdFactor     float64
 	Drain          time.Duration
 	Operations     []Operation
+	Line           int // of the file
 }
 
 // Operation is one kind of call.
@@ -55,6 +56,7 @@
 	Parallel   bool
 	OneIn      int // stragglers
 	Straggler  float64
+	Line       int
 }
 
 // Load is a stream of requests for one operation.
@@ -64,6 +66,7 @@
 	Points    []Point
 	Asks      int
 	Polite    bool
+	Line      int
 }
 
 // Point sets the rate from a time on.
@@ -122,6 +125,7 @@
 	Name  string
 	Unit  string
 	Value Expression
+	Line  int
 }
 
 // Promise is a bound that the run through the layer must keep.
