Add the verbs of gypsumctl

check, apply, get, diff, status, drain, timeline and version, each a package. apply is a conditional update. The platform keeps only the newest version, so an operator whose update comes too late couldn't be told what others changed; the document therefore carries a bounded change log in comments at its top.

--- /dev/null
+++ b/command/configuration/configuration.go
@@ -0,0 +1,88 @@
+// Package configuration reads the inventory from files and from the platform,
+// for the verbs that work on it.
+package configuration
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/api/platform"
+	"github.com/gypsumford/gypsumford/command/changelog"
+	"github.com/gypsumford/gypsumford/inventory"
+)
+
+// StandardInput is the file name that means standard input.
+const StandardInput = "-"
+
+// Document is an inventory with the text that it was read from.
+type Document struct {
+	Text      []byte // not compressed, without the lines of the change log
+	Log       changelog.Log
+	Version   uint64               // on the platform, 0 for a file or if there is none
+	Inventory *inventory.Inventory // nil if there is none, or a faulty one
+}
+
+// Connect returns a client of the platform at the URL.
+func Connect(url string) *platform.Client {
+	return platform.New(url, &http.Client{Transport: &http.Transport{}})
+}
+
+// ReadFile reads and checks the inventory in a file. What is wrong with it is a
+// *finding.List.
+func ReadFile(name string, stdin io.Reader) (Document, error) {
+	data, err := readAll(name, stdin)
+	if err != nil {
+		return Document{}, err
+	}
+	return parse(name, data)
+}
+
+func readAll(name string, stdin io.Reader) ([]byte, error) {
+	if name == StandardInput {
+		data, err := io.ReadAll(io.LimitReader(stdin, inventory.MaxExpandedBytes+1))
+		return data, errors.Wrap(err, "read standard input")
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the inventory")
+	}
+	defer func() { _ = file.Close() }()
+	data, err := io.ReadAll(io.LimitReader(file, inventory.MaxExpandedBytes+1))
+	return data, errors.Wrapf(err, "read %s", name)
+}
+
+// Read reads the inventory from the platform. Without one the document has
+// version 0. If it is faulty, the version is set and the error is a
+// *finding.List.
+func Read(ctx context.Context, client *platform.Client) (Document, error) {
+	object, err := client.Get(ctx, inventory.ObjectKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Document{}, nil
+	}
+	if err != nil {
+		return Document{}, errors.Wrap(err, "can't read the inventory, try again when the platform answers")
+	}
+	document, err := parse(inventory.ObjectKey, object.Value)
+	document.Version = object.Version
+	if err != nil {
+		return document, errors.Wrap(err, "the inventory on the platform is faulty")
+	}
+	return document, nil
+}
+
+func parse(name string, data []byte) (Document, error) {
+	inv, err := inventory.Parse(name, data)
+	if err != nil {
+		return Document{}, err
+	}
+	text, err := inventory.Decode(data)
+	if err != nil {
+		return Document{}, errors.Wrap(err, name)
+	}
+	log, body := changelog.Split(text)
+	return Document{Text: body, Log: log, Inventory: inv}, nil
+}
--- /dev/null
+++ b/command/node/node.go
@@ -0,0 +1,112 @@
+// Package node asks nodes for the verbs that read from the fleet.
+//
+// The first node tells who the members are; the members are then asked by a
+// bounded number of workers, each with a time limit of its own, so a node that
+// hangs delays only its own row.
+package node
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/rpc/operator"
+)
+
+const (
+	// workers is the number of nodes that are asked at once.
+	workers = 64
+	// nodeTimeout is the longest time that one node gets to answer.
+	nodeTimeout = 3 * time.Second
+	// idleTimeout closes a connection that is no longer used.
+	idleTimeout = 5 * time.Second
+)
+
+// Answer is what one member answered.
+type Answer[T any] struct {
+	Member *operator.Member
+	Reply  T
+	Err    error
+}
+
+// Client asks nodes. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client.
+func New() *Client {
+	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// At returns the operators' service of the node with the peer address.
+func (c *Client) At(peerAddress string) operator.Operator {
+	return operator.NewOperatorProtobufClient("http://"+peerAddress, c.http)
+}
+
+// Status asks the node with the peer address for its own status and for all
+// members that it knows.
+func (c *Client) Status(ctx context.Context, peerAddress string) (*operator.StatusReply, error) {
+	reply, err := c.At(peerAddress).Status(ctx, &operator.StatusRequest{WithMembers: true})
+	if err != nil {
+		return nil, errors.Wrapf(Explain(err), "node %s doesn't answer; -node takes the peer address of any node that runs", peerAddress)
+	}
+	return reply, nil
+}
+
+// Split parts the members that may answer from those that are dead or have left.
+func Split(members []*operator.Member) (live, gone []*operator.Member) {
+	for _, member := range members {
+		switch member.GetState() {
+		case fleet.Dead.String(), fleet.Left.String():
+			gone = append(gone, member)
+		default:
+			live = append(live, member)
+		}
+	}
+	return live, gone
+}
+
+// Each asks all members and returns their answers in the order of the members.
+func Each[T any](ctx context.Context, c *Client, members []*operator.Member, ask func(context.Context, operator.Operator) (T, error)) []Answer[T] {
+	answers := make([]Answer[T], len(members))
+	next := make(chan int)
+	var group sync.WaitGroup
+	for range min(workers, len(members)) {
+		group.Go(func() {
+			for i := range next {
+				answers[i] = askOne(ctx, c, members[i], ask)
+			}
+		})
+	}
+	for i := range members {
+		next <- i
+	}
+	close(next)
+	group.Wait()
+	return answers
+}
+
+func askOne[T any](ctx context.Context, c *Client, member *operator.Member, ask func(context.Context, operator.Operator) (T, error)) Answer[T] {
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	reply, err := ask(ctx, c.At(member.GetPeerAddress()))
+	return Answer[T]{Member: member, Reply: reply, Err: Explain(err)}
+}
+
+// Explain returns an error without the protocol's wrapping text.
+func Explain(err error) error {
+	var twirpError twirp.Error
+	if !errors.As(err, &twirpError) {
+		return err
+	}
+	message := strings.TrimPrefix(twirpError.Msg(), "failed to do request: ")
+	return errors.New(message)
+}
--- /dev/null
+++ b/command/status/report.go
@@ -0,0 +1,173 @@
+package status
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/gypsumford/gypsumford/command/node"
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/rpc/operator"
+)
+
+// report is the output as JSON.
+type report struct {
+	AskedNode string       `json:"asked_node"`
+	Nodes     int          `json:"nodes"`
+	Answering int          `json:"answering"`
+	Versions  []uint64     `json:"inventory_versions"` // in force on the nodes that answer
+	Services  []serviceRow `json:"services"`
+	Targets   []targetRow  `json:"targets"`
+	Classes   []classRow   `json:"classes"`
+}
+
+// serviceRow sums up the targets of one service.
+type serviceRow struct {
+	Service string `json:"service"`
+	Targets int    `json:"targets"`
+	Ready   int    `json:"ready"`
+	Running uint32 `json:"running"`
+	Limit   uint32 `json:"limit"`
+	Slots   uint32 `json:"slots"`
+	Queued  uint32 `json:"queued"`
+	Admits  string `json:"admits"` // of the strictest target
+
+	boundary boundary
+}
+
+// targetRow is one node with its target.
+type targetRow struct {
+	Node          string `json:"node"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	Service       string `json:"service"`
+	State         string `json:"state"`
+	Answers       bool   `json:"answers"`
+	Running       uint32 `json:"running"`
+	Limit         uint32 `json:"limit"`
+	Slots         uint32 `json:"slots"`
+	Queued        uint32 `json:"queued"`
+	Admits        string `json:"admits"`
+	Version       uint64 `json:"inventory_version"`
+	Error         string `json:"error,omitempty"`
+
+	boundary boundary
+}
+
+// classRow counts the calls of one class on all nodes.
+type classRow struct {
+	Class     string            `json:"class"`
+	Completed uint64            `json:"completed"`
+	Unknown   uint64            `json:"unknown"`
+	Refused   uint64            `json:"refused"`
+	Reasons   map[string]uint64 `json:"reasons"`
+}
+
+// reasons returns the reasons with their counts, the most frequent first.
+func (c classRow) reasons() string {
+	names := slices.SortedFunc(maps.Keys(c.Reasons), func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.Reasons[b], c.Reasons[a]), cmp.Compare(a, b))
+	})
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s %d", name, c.Reasons[name]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// versions describes the versions of the inventory that are in force.
+func (r report) versions() string {
+	switch {
+	case len(r.Versions) == 0, len(r.Versions) == 1 && r.Versions[0] == 0:
+		return "none in force"
+	case len(r.Versions) == 1:
+		return fmt.Sprintf("version %d in force on all of them", r.Versions[0])
+	default:
+		return fmt.Sprintf("versions %v in force, the newest is on its way", r.Versions)
+	}
+}
+
+func newReport(asked string, answers []node.Answer[*operator.StatusReply], service string) report {
+	r := report{AskedNode: asked, Services: []serviceRow{}, Targets: []targetRow{}, Classes: []classRow{}, Versions: []uint64{}}
+	services := make(map[string]*serviceRow)
+	classes := newClassCounts()
+	versions := make(map[uint64]bool)
+	for _, answer := range answers {
+		row := newTargetRow(answer)
+		if service != "" && row.Service != service {
+			continue
+		}
+		r.Nodes++
+		if row.Answers {
+			r.Answering++
+			versions[row.Version] = true
+			classes.add(answer.Reply.GetClasses())
+		}
+		r.Targets = append(r.Targets, row)
+	}
+	for _, row := range r.Targets {
+		addToService(services, row, classes)
+	}
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		r.Services = append(r.Services, *services[name])
+	}
+	r.Classes = append(r.Classes, classes.rows()...)
+	r.Versions = append(r.Versions, slices.Sorted(maps.Keys(versions))...)
+	slices.SortFunc(r.Targets, func(a, b targetRow) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Node, b.Node))
+	})
+	return r
+}
+
+// newTargetRow takes the node's own answer, or what the others know of it.
+func newTargetRow(answer node.Answer[*operator.StatusReply]) targetRow {
+	member := answer.Member
+	row := targetRow{
+		Node: member.GetNode(), Address: member.GetPeerAddress(),
+		FailureDomain: member.GetFailureDomain(), Region: member.GetRegion(),
+		Service: member.GetService(), State: member.GetState(), Version: member.GetConfigVersion(),
+	}
+	if answer.Err != nil {
+		row.Error = answer.Err.Error()
+		return row
+	}
+	row.Answers = true
+	row.Version = answer.Reply.GetConfigVersion()
+	target := answer.Reply.GetTarget()
+	if target == nil {
+		row.Error = "no target has announced itself"
+		return row
+	}
+	row.Service, row.State = target.GetService(), target.GetState()
+	row.Running, row.Limit, row.Slots = target.GetRunning(), target.GetLimit(), target.GetSlots()
+	row.Queued = target.GetQueued()
+	row.boundary = boundary{target.GetStrictestClass(), target.GetAdmittedShare()}
+	row.Admits = row.boundary.String()
+	return row
+}
+
+func addToService(services map[string]*serviceRow, target targetRow, classes *classCounts) {
+	if target.Service == "" {
+		return
+	}
+	row := services[target.Service]
+	if row == nil {
+		row = &serviceRow{Service: target.Service, Admits: "all"}
+		services[target.Service] = row
+	}
+	row.Targets++
+	if target.State == fleet.Ready.String() {
+		row.Ready++
+	}
+	row.Running += target.Running
+	row.Limit += target.Limit
+	row.Slots += target.Slots
+	row.Queued += target.Queued
+	if target.Answers && target.boundary.stricter(row.boundary, classes) {
+		row.boundary = target.boundary
+		row.Admits = row.boundary.String()
+	}
+}
--- /dev/null
+++ b/command/timeline/collect.go
@@ -0,0 +1,136 @@
+package timeline
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/command"
+	"github.com/gypsumford/gypsumford/command/node"
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/rpc/operator"
+	events "github.com/gypsumford/gypsumford/timeline"
+	"github.com/gypsumford/gypsumford/timeline/eventpb"
+)
+
+// pageSize is the number of events that one request to a node asks for.
+const pageSize = 5000
+
+// collection is what all nodes answered, and the output as JSON.
+type collection struct {
+	Nodes  []nodeResult   `json:"nodes"`
+	Events []events.Event `json:"events"`
+}
+
+// nodeResult tells how complete the events of one node are.
+type nodeResult struct {
+	Node    fleet.InstanceID `json:"node"`
+	Address string           `json:"address"`
+	Events  int              `json:"events"`
+	Dropped uint64           `json:"dropped"`           // lost to age
+	Unknown int              `json:"unknown,omitempty"` // of kinds that this version doesn't know
+	Error   string           `json:"error,omitempty"`   // the node didn't answer
+}
+
+// collect reads the events of all live members that the node at the address
+// knows, and merges them.
+func collect(ctx context.Context, client *node.Client, address string, filter events.Filter, limit int) (collection, error) {
+	status, err := client.Status(ctx, address)
+	if err != nil {
+		return collection{}, err
+	}
+	live, _ := node.Split(status.GetMembers())
+	answers := node.Each(ctx, client, live, func(ctx context.Context, at operator.Operator) (nodeEvents, error) {
+		return readNode(ctx, at, filter, limit)
+	})
+	c := collection{Nodes: []nodeResult{}}
+	lists := make([][]events.Event, 0, len(answers))
+	for _, answer := range answers {
+		c.Nodes = append(c.Nodes, newNodeResult(answer))
+		lists = append(lists, answer.Reply.events)
+	}
+	c.Events = events.Merge(lists...)
+	return c, nil
+}
+
+// nodeEvents are the events that were read from one node.
+type nodeEvents struct {
+	events  []events.Event
+	dropped uint64
+	unknown int
+}
+
+// readNode reads the node's ring in pages and keeps the last limit events.
+func readNode(ctx context.Context, at operator.Operator, filter events.Filter, limit int) (nodeEvents, error) {
+	var all nodeEvents
+	after := uint64(0)
+	for {
+		reply, err := at.Timeline(ctx, &operator.TimelineRequest{
+			After: after, Limit: pageSize,
+			Request: string(filter.Request), Service: filter.Service, Kind: filter.Kind.String(),
+		})
+		if err != nil {
+			return all, err
+		}
+		some, unknown := eventpb.ToEvents(reply.GetEvents())
+		all.unknown += unknown
+		all.dropped += reply.GetDropped()
+		all.events = append(all.events, some...)
+		if surplus := len(all.events) - limit; surplus > 0 {
+			all.events = all.events[surplus:]
+			all.dropped += uint64(surplus)
+		}
+		last := lastSequence(reply.GetEvents())
+		if len(reply.GetEvents()) == 0 || last <= after {
+			return all, nil
+		}
+		after = last
+	}
+}
+
+func lastSequence(messages []*operator.Event) uint64 {
+	if len(messages) == 0 {
+		return 0
+	}
+	return messages[len(messages)-1].GetSequence()
+}
+
+func newNodeResult(answer node.Answer[nodeEvents]) nodeResult {
+	r := nodeResult{
+		Node: fleet.InstanceID(answer.Member.GetNode()), Address: answer.Member.GetPeerAddress(),
+		Events: len(answer.Reply.events), Dropped: answer.Reply.dropped, Unknown: answer.Reply.unknown,
+	}
+	if answer.Err != nil {
+		r.Error = answer.Err.Error()
+	}
+	return r
+}
+
+// lossy returns the nodes whose older events are lost.
+func (c collection) lossy() []fleet.InstanceID {
+	var nodes []fleet.InstanceID
+	for _, n := range c.Nodes {
+		if n.Dropped > 0 {
+			nodes = append(nodes, n.Node)
+		}
+	}
+	return nodes
+}
+
+// note tells on standard error what is missing.
+func (c collection) note(env *command.Env) {
+	var dropped uint64
+	var failed []error
+	for _, n := range c.Nodes {
+		dropped += n.Dropped
+		if n.Error != "" {
+			failed = append(failed, errors.Newf("node %s at %s: %s", n.Node, n.Address, n.Error))
+		}
+	}
+	for _, err := range failed {
+		env.Notef("note: events are missing: %s", err)
+	}
+	if dropped > 0 {
+		env.Notef("note: %d older events of %d nodes are lost to age or to -limit", dropped, len(c.lossy()))
+	}
+}
--- /dev/null
+++ b/command/timeline/page/plot.go
@@ -0,0 +1,171 @@
+package page
+
+import (
+	"fmt"
+	"html"
+	"math"
+	"strings"
+	"time"
+)
+
+// Sizes of the drawing in pixels.
+const (
+	width       = 1080
+	panelHeight = 150
+	panelGap    = 52
+	marginLeft  = 64
+	marginRight = 24
+	marginTop   = 46
+	axisHeight  = 34
+	gridLines   = 4
+	timeTicks   = 8
+	legendStep  = 150
+)
+
+// colours of the lines; they differ in lightness too.
+var colours = []string{"#0b5cad", "#d9730d", "#1b7f4b", "#8e3fa8", "#b3261e", "#00808a", "#7a5c00", "#4a4a4a"}
+
+// panel is one plot with a shared time axis.
+type panel struct {
+	title string
+	lines []series
+	top   float64 // fixed upper end of the scale, 0 to fit the data
+	note  string  // shown if there are no lines
+}
+
+// plot draws panels below each other, with marks over all of them.
+type plot struct {
+	span       span
+	panels     []panel
+	marks      []mark
+	incomplete time.Time // before it events of some nodes are lost; zero if none are
+	out        strings.Builder
+}
+
+// svg returns the drawing.
+func (p *plot) svg() string {
+	height := marginTop + len(p.panels)*(panelHeight+panelGap) + axisHeight
+	fmt.Fprintf(&p.out, `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %d %d" role="img" aria-label="Time line of all nodes">`, width, height)
+	for i, panel := range p.panels {
+		p.drawPanel(panel, float64(marginTop+i*(panelHeight+panelGap)))
+	}
+	bottom := float64(marginTop+len(p.panels)*(panelHeight+panelGap)) - panelGap
+	p.drawIncomplete(bottom)
+	p.drawMarks(bottom)
+	p.drawTimeAxis(bottom)
+	p.out.WriteString("</svg>")
+	return p.out.String()
+}
+
+func (p *plot) x(at time.Time) float64 {
+	share := float64(at.Sub(p.span.from)) / float64(p.span.to.Sub(p.span.from))
+	return marginLeft + min(max(share, 0), 1)*(width-marginLeft-marginRight)
+}
+
+func (p *plot) drawPanel(panel panel, y float64) {
+	p.text(marginLeft, y-10, "start", "title", panel.title)
+	top := panel.top
+	if top == 0 {
+		top = niceTop(panel.lines)
+	}
+	for i := range gridLines + 1 {
+		lineY := y + panelHeight - float64(i)*panelHeight/gridLines
+		fmt.Fprintf(&p.out, `<line x1="%d" x2="%d" y1="%.1f" y2="%.1f" class="grid"/>`, marginLeft, width-marginRight, lineY, lineY)
+		p.text(marginLeft-8, lineY+4, "end", "tick", number(top*float64(i)/gridLines))
+	}
+	if len(panel.lines) == 0 {
+		p.text(width/2, y+panelHeight/2, "middle", "tick", panel.note)
+		return
+	}
+	for i, line := range panel.lines {
+		colour := colours[i%len(colours)]
+		p.drawLine(line, colour, y, top)
+		x := float64(width - marginRight - (len(panel.lines)-i)*legendStep)
+		fmt.Fprintf(&p.out, `<rect x="%.1f" y="%.1f" width="14" height="4" fill="%s"/>`, x, y-15, colour)
+		p.text(x+20, y-10, "start", "tick", clip(line.name))
+	}
+}
+
+func (p *plot) drawLine(line series, colour string, y, top float64) {
+	var points strings.Builder
+	for _, point := range line.points {
+		pointY := y + panelHeight*(1-min(point.value/top, 1))
+		fmt.Fprintf(&points, "%.1f,%.1f ", p.x(point.at), pointY)
+	}
+	fmt.Fprintf(&p.out, `<polyline points="%s" fill="none" stroke="%s" stroke-width="1.8"><title>%s</title></polyline>`,
+		strings.TrimSpace(points.String()), colour, html.EscapeString(line.name))
+}
+
+// drawIncomplete shades the time in which rings have lost events.
+func (p *plot) drawIncomplete(bottom float64) {
+	if p.incomplete.IsZero() || !p.incomplete.After(p.span.from) {
+		return
+	}
+	fmt.Fprintf(&p.out, `<rect x="%d" y="%d" width="%.1f" height="%.1f" class="incomplete"><title>some nodes have lost their events of this time</title></rect>`,
+		marginLeft, marginTop, p.x(p.incomplete)-marginLeft, bottom-marginTop)
+}
+
+func (p *plot) drawMarks(bottom float64) {
+	for i, m := range p.marks {
+		x := p.x(m.at)
+		fmt.Fprintf(&p.out, `<line x1="%.1f" x2="%.1f" y1="%d" y2="%.1f" stroke="%s" stroke-dasharray="4 3"><title>%s</title></line>`,
+			x, x, marginTop-18, bottom, markColour(m.kind), html.EscapeString(m.text))
+		fmt.Fprintf(&p.out, `<text x="%.1f" y="%.1f" text-anchor="middle" class="mark" fill="%s">%d</text>`,
+			x, float64(marginTop-22-(i%2)*11), markColour(m.kind), i+1)
+	}
+}
+
+func (p *plot) drawTimeAxis(bottom float64) {
+	total := p.span.to.Sub(p.span.from)
+	for i := range timeTicks + 1 {
+		at := p.span.from.Add(total * time.Duration(i) / timeTicks)
+		fmt.Fprintf(&p.out, `<line x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f" class="axis"/>`, p.x(at), p.x(at), bottom, bottom+5)
+		p.text(p.x(at), bottom+19, "middle", "tick", at.UTC().Format(tickLayout(total)))
+	}
+}
+
+func (p *plot) text(x, y float64, anchor, class, text string) {
+	fmt.Fprintf(&p.out, `<text x="%.1f" y="%.1f" text-anchor="%s" class="%s">%s</text>`, x, y, anchor, class, html.EscapeString(text))
+}
+
+// tickLayout shows parts of a second only on short time lines.
+func tickLayout(total time.Duration) string {
+	if total < time.Minute {
+		return "15:04:05.0"
+	}
+	return "15:04:05"
+}
+
+// niceTop returns an upper end of the scale of 1, 2, 4 or 8 times a power of ten
+// above all values.
+func niceTop(lines []series) float64 {
+	highest := 0.0
+	for _, line := range lines {
+		for _, point := range line.points {
+			highest = max(highest, point.value)
+		}
+	}
+	if highest <= 0 {
+		return 1
+	}
+	power := math.Pow(10, math.Floor(math.Log10(highest)))
+	for _, step := range []float64{1, 2, 4, 8} {
+		if highest <= step*power {
+			return step * power
+		}
+	}
+	return 10 * power
+}
+
+// number prints a value of the scale in few digits.
+func number(value float64) string {
+	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.2f", value), "0"), ".")
+}
+
+func clip(name string) string {
+	const longest = 18
+	if runes := []rune(name); len(runes) > longest {
+		return string(runes[:longest]) + "…"
+	}
+	return name
+}
--- /dev/null
+++ b/command/timeline/page/series.go
@@ -0,0 +1,234 @@
+package page
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/timeline"
+)
+
+// point is a value at a time.
+type point struct {
+	at    time.Time
+	value float64
+}
+
+// series is one line of a plot.
+type series struct {
+	name   string
+	points []point
+}
+
+// span is the time that a plot shows.
+type span struct {
+	from, to time.Time
+	bucket   time.Duration // over which rates are counted
+}
+
+// buckets is about the number of intervals that rates are counted over.
+const buckets = 120
+
+// bucketSteps are the lengths that an interval may have.
+var bucketSteps = []time.Duration{
+	10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+	time.Minute, 5 * time.Minute, 15 * time.Minute, time.Hour,
+}
+
+// spanOf returns the time from the first event to the last.
+func spanOf(events []timeline.Event) span {
+	s := span{from: events[0].Time, to: events[0].Time}
+	for i := range events {
+		if at := events[i].Time; at.Before(s.from) {
+			s.from = at
+		} else if at.After(s.to) {
+			s.to = at
+		}
+	}
+	wanted := s.to.Sub(s.from) / buckets
+	s.bucket = bucketSteps[len(bucketSteps)-1]
+	for _, step := range bucketSteps {
+		if step >= wanted {
+			s.bucket = step
+			break
+		}
+	}
+	s.from = s.from.Truncate(s.bucket)
+	s.to = s.to.Truncate(s.bucket).Add(s.bucket)
+	return s
+}
+
+// root is the call that a request began with.
+type root struct {
+	node               fleet.InstanceID
+	service, operation string
+}
+
+// roots finds the root call of each request: that of its first event.
+func roots(events []timeline.Event) map[string]root {
+	found := make(map[string]root)
+	for i := range events {
+		e := &events[i]
+		if e.Request == "" {
+			continue
+		}
+		if _, known := found[string(e.Request)]; !known {
+			found[string(e.Request)] = root{e.Node, e.Service, e.Operation}
+		}
+	}
+	return found
+}
+
+// requestRates returns a series for each class: how many whole requests ended by
+// an event of the kind, in each second.
+func requestRates(events []timeline.Event, s span, kind timeline.Kind) []series {
+	counts := make(map[string][]int)
+	rootOf := roots(events)
+	for i := range events {
+		e := &events[i]
+		isRoot := rootOf[string(e.Request)] == root{e.Node, e.Service, e.Operation}
+		if e.Kind != kind || e.Request == "" || !isRoot {
+			continue
+		}
+		if counts[e.Class] == nil {
+			counts[e.Class] = make([]int, s.count())
+		}
+		counts[e.Class][s.index(e.Time)]++
+	}
+	lines := make([]series, 0, len(counts))
+	for _, class := range slices.Sorted(maps.Keys(counts)) {
+		lines = append(lines, series{name: orDash(class), points: s.rates(counts[class])})
+	}
+	return lines
+}
+
+func (s span) count() int { return int(s.to.Sub(s.from)/s.bucket) + 1 }
+
+func (s span) index(at time.Time) int {
+	return min(max(int(at.Sub(s.from)/s.bucket), 0), s.count()-1)
+}
+
+// rates turns counts of intervals into events a second, at each one's middle.
+func (s span) rates(counts []int) []point {
+	points := make([]point, 0, len(counts))
+	for i, count := range counts[:len(counts)-1] {
+		points = append(points, point{
+			at:    s.from.Add(time.Duration(i)*s.bucket + s.bucket/2),
+			value: float64(count) / s.bucket.Seconds(),
+		})
+	}
+	return points
+}
+
+// sums returns a series for each service: the sum over its nodes of the value
+// that the last event of the kind stated.
+func sums(events []timeline.Event, s span, kind timeline.Kind) []series {
+	return merged(events, s, kind, func(values map[fleet.InstanceID]float64) float64 {
+		total := 0.0
+		for _, value := range values {
+			total += value
+		}
+		return total
+	})
+}
+
+// lowest returns a series for each service: the lowest value on its nodes that
+// the last event of the kind stated.
+func lowest(events []timeline.Event, s span, kind timeline.Kind) []series {
+	return merged(events, s, kind, func(values map[fleet.InstanceID]float64) float64 {
+		return slices.Min(slices.Collect(maps.Values(values)))
+	})
+}
+
+// merged returns steps: a value holds until the next event.
+func merged(events []timeline.Event, s span, kind timeline.Kind, merge func(map[fleet.InstanceID]float64) float64) []series {
+	byTime := make([]timeline.Event, 0)
+	for i := range events {
+		if events[i].Kind == kind {
+			byTime = append(byTime, events[i])
+		}
+	}
+	slices.SortStableFunc(byTime, func(a, b timeline.Event) int { return a.Time.Compare(b.Time) })
+	values := make(map[string]map[fleet.InstanceID]float64)
+	points := make(map[string][]point)
+	for _, e := range byTime {
+		if values[e.Service] == nil {
+			values[e.Service] = make(map[fleet.InstanceID]float64)
+		}
+		values[e.Service][e.Node] = e.Value
+		points[e.Service] = append(points[e.Service], point{e.Time, merge(values[e.Service])})
+	}
+	lines := make([]series, 0, len(points))
+	for _, service := range slices.Sorted(maps.Keys(points)) {
+		lines = append(lines, series{name: orDash(service), points: steps(points[service], s)})
+	}
+	return lines
+}
+
+// steps adds the corners of a line whose values hold until the next point, and
+// thins it out to one value an interval.
+func steps(points []point, s span) []point {
+	var corners []point
+	for i, p := range points {
+		if i+1 < len(points) && s.index(points[i+1].at) == s.index(p.at) {
+			continue
+		}
+		if len(corners) > 0 {
+			corners = append(corners, point{p.at, corners[len(corners)-1].value})
+		}
+		corners = append(corners, p)
+	}
+	return append(corners, point{s.to, corners[len(corners)-1].value})
+}
+
+// mark is an event that is drawn over all plots.
+type mark struct {
+	at    time.Time
+	kind  timeline.Kind
+	text  string
+	nodes int // that reported it
+}
+
+// Bounds on marks.
+const (
+	mostMarks  = 40
+	markWindow = 5 * time.Second // in which reports of many nodes count as one
+)
+
+// marks returns the faults and changes of state, reports of many nodes as one.
+func marks(events []timeline.Event) []mark {
+	var found []mark
+	for i := range events {
+		e := &events[i]
+		if !marked(e.Kind) {
+			continue
+		}
+		text := markText(e)
+		same := slices.IndexFunc(found, func(m mark) bool {
+			return m.text == text && e.Time.Sub(m.at).Abs() < markWindow
+		})
+		if same >= 0 {
+			found[same].nodes++
+			if e.Time.Before(found[same].at) {
+				found[same].at = e.Time
+			}
+			continue
+		}
+		found = append(found, mark{at: e.Time, kind: e.Kind, text: text, nodes: 1})
+	}
+	slices.SortStableFunc(found, func(a, b mark) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	return found
+}
+
+func marked(kind timeline.Kind) bool {
+	switch kind {
+	case timeline.PlatformOut, timeline.PlatformBack, timeline.MemberLost, timeline.ConfigAccepted,
+		timeline.ConfigRefused, timeline.NodeStopping, timeline.TargetState:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/command/timeline/text.go
@@ -0,0 +1,65 @@
+package timeline
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	events "github.com/gypsumford/gypsumford/timeline"
+)
+
+// clockLayout shows the wall clock of the node to the microsecond.
+const clockLayout = "15:04:05.000000"
+
+// writeText prints one event a line: clock, node, kind, request, what it
+// concerns, detail and value.
+func writeText(w io.Writer, list []events.Event) error {
+	buffered := bufio.NewWriter(w)
+	for i := range list {
+		_, _ = fmt.Fprintln(buffered, line(&list[i]))
+	}
+	return errors.Wrap(buffered.Flush(), "write the output")
+}
+
+func line(e *events.Event) string {
+	parts := []string{
+		e.Time.Format(clockLayout),
+		fmt.Sprintf("%-16s", clean(string(e.Node))),
+		fmt.Sprintf("%-15s", e.Kind),
+	}
+	for _, part := range []string{string(e.Request), about(e), e.Detail} {
+		if part != "" {
+			parts = append(parts, clean(part))
+		}
+	}
+	if e.Value != 0 {
+		parts = append(parts, strconv.FormatFloat(e.Value, 'g', 6, 64))
+	}
+	return strings.Join(parts, "  ")
+}
+
+// about names the service, operation and class of an event.
+func about(e *events.Event) string {
+	text := e.Service
+	if e.Operation != "" {
+		text += "/" + e.Operation
+	}
+	if e.Class != "" {
+		text += " (" + e.Class + ")"
+	}
+	return text
+}
+
+// clean keeps control characters of a node's answer from the terminal.
+func clean(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, text)
+}
--- a/inventory/diff.go
+++ b/inventory/diff.go
@@ -40,7 +40,7 @@
 
 // Diff returns what changed from one inventory to the other, sorted by path. An
 // entry that was added or removed whole is one change. Two inventories are equal
-// if there is no change.
+// if there is no change. A nil inventory has no fields.
 func Diff(before, after *Inventory) []Change {
 	old, new := flatten(before), flatten(after)
 	var changes []Change
@@ -85,6 +85,9 @@
 
 func flatten(inv *Inventory) fields {
 	all := fields{}
+	if inv == nil {
+		return all
+	}
 	all["classes"] = strings.Join(inv.Classes, " > ")
 	all["attempts.bound"] = strconv.Itoa(inv.Attempts.Bound)
 	all["retry.budget-percent"] = strconv.Itoa(inv.Retry.BudgetPercent)
--- a/inventory/document.go
+++ b/inventory/document.go
@@ -14,6 +14,9 @@
 	"github.com/gypsumford/gypsumford/finding"
 )
 
+// ObjectKey is the key of the platform's object that holds the inventory.
+const ObjectKey = "config/inventory"
+
 // gzipMagic begins each document that is compressed.
 var gzipMagic = []byte{0x1f, 0x8b}
 
--- a/settings/help.go
+++ b/settings/help.go
@@ -59,7 +59,11 @@
 	fmt.Fprintf(text, "\n%s\n", precedence)
 }
 
+// describeDefault returns "required" if the default isn't accepted.
 func (setting *setting) describeDefault() string {
+	if setting.resolve(setting.fallback) != nil {
+		return "required"
+	}
 	if setting.fallback == "" {
 		return "no default"
 	}
