--- a/command/timeline/page/page.go
+++ b/command/timeline/page/page.go
@@ -69,7 +69,11 @@
 	all := marks(events)
 	drawn := all[:min(len(all), mostMarks)]
 	c.Omitted = len(all) - len(drawn)
-	p := plot{span: s, panels: panels(events, s), marks: drawn, incomplete: completeFrom(events, lossy)}
+	byClass, byService := classPanels(events, s), servicePanels(events, s)
+	p := plot{
+		span: s, panels: append(byClass, byService...), colours: newPalette(byClass, byService),
+		marks: drawn, incomplete: completeFrom(events, lossy),
+	}
 	c.Plot = template.HTML(p.svg())
 	for i, m := range drawn {
 		c.Marks = append(c.Marks, markRow{i + 1, m.at.UTC().Format(clockLayout), m.text, m.nodes, markColour(m.kind)})
@@ -80,12 +84,17 @@
 	c.Listed = len(c.Rows)
 }
 
-func panels(events []timeline.Event, s span) []panel {
+func classPanels(events []timeline.Event, s span) []panel {
+	return []panel{
+		{title: "Whole requests completed a second", lines: requestRates(events, s, timeline.Completed), note: "no completed requests"},
+		{title: "Whole requests refused a second", lines: requestRates(events, s, timeline.Refused), note: "nothing refused"},
+	}
+}
+
+func servicePanels(events []timeline.Event, s span) []panel {
 	return []panel{
-		{title: "Whole requests completed a second, by class", lines: requestRates(events, s, timeline.Completed), note: "no completed requests"},
-		{title: "Whole requests refused a second, by class", lines: requestRates(events, s, timeline.Refused), note: "nothing refused"},
-		{title: "Concurrency limit, sum over the targets of a service", lines: sums(events, s, timeline.LimitChanged), note: "no limit changed"},
-		{title: "Share of priorities admitted, strictest target of a service", lines: lowest(events, s, timeline.LevelChanged), top: 1, note: "no level changed"},
+		{title: "Concurrency limit, sum over targets", lines: sums(events, s, timeline.LimitChanged), note: "no limit changed"},
+		{title: "Share admitted by the strictest target", lines: lowest(events, s, timeline.LevelChanged), top: 1, note: "no level changed"},
 	}
 }
 
--- a/command/timeline/page/plot.go
+++ b/command/timeline/page/plot.go
@@ -18,13 +18,10 @@
 	marginTop   = 46
 	axisHeight  = 34
 	gridLines   = 4
-	timeTicks   = 8
-	legendStep  = 150
+	timeTicks   = 8 // at most
+	legendStep  = 130
 )
 
-// colours of the lines; they differ in lightness too.
-var colours = []string{"#0b5cad", "#d9730d", "#1b7f4b", "#8e3fa8", "#b3261e", "#00808a", "#7a5c00", "#4a4a4a"}
-
 // panel is one plot with a shared time axis.
 type panel struct {
 	title string
@@ -37,6 +34,7 @@
 type plot struct {
 	span       span
 	panels     []panel
+	colours    palette
 	marks      []mark
 	incomplete time.Time // before it events of some nodes are lost; zero if none are
 	out        strings.Builder
@@ -44,7 +42,7 @@
 
 // svg returns the drawing.
 func (p *plot) svg() string {
-	height := marginTop + len(p.panels)*(panelHeight+panelGap) + axisHeight
+	height := marginTop + len(p.panels)*(panelHeight+panelGap) - panelGap + axisHeight
 	fmt.Fprintf(&p.out, `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %d %d" role="img" aria-label="Time line of all nodes">`, width, height)
 	for i, panel := range p.panels {
 		p.drawPanel(panel, float64(marginTop+i*(panelHeight+panelGap)))
@@ -78,7 +76,7 @@
 		return
 	}
 	for i, line := range panel.lines {
-		colour := colours[i%len(colours)]
+		colour := p.colours.of(line.name)
 		p.drawLine(line, colour, y, top)
 		x := float64(width - marginRight - (len(panel.lines)-i)*legendStep)
 		fmt.Fprintf(&p.out, `<rect x="%.1f" y="%.1f" width="14" height="4" fill="%s"/>`, x, y-15, colour)
@@ -117,10 +115,13 @@
 
 func (p *plot) drawTimeAxis(bottom float64) {
 	total := p.span.to.Sub(p.span.from)
-	for i := range timeTicks + 1 {
-		at := p.span.from.Add(total * time.Duration(i) / timeTicks)
+	step := tickStep(total)
+	for at := p.span.from.Truncate(step); !at.After(p.span.to); at = at.Add(step) {
+		if at.Before(p.span.from) {
+			continue
+		}
 		fmt.Fprintf(&p.out, `<line x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f" class="axis"/>`, p.x(at), p.x(at), bottom, bottom+5)
-		p.text(p.x(at), bottom+19, "middle", "tick", at.UTC().Format(tickLayout(total)))
+		p.text(p.x(at), bottom+19, "middle", "tick", at.UTC().Format(tickLayout(step)))
 	}
 }
 
@@ -128,16 +129,28 @@
 	fmt.Fprintf(&p.out, `<text x="%.1f" y="%.1f" text-anchor="%s" class="%s">%s</text>`, x, y, anchor, class, html.EscapeString(text))
 }
 
+// tickStep returns the shortest of the steps that gives at most timeTicks ticks.
+func tickStep(total time.Duration) time.Duration {
+	for _, step := range bucketSteps {
+		if total/step <= timeTicks {
+			return step
+		}
+	}
+	return bucketSteps[len(bucketSteps)-1] * time.Duration(1+total/bucketSteps[len(bucketSteps)-1]/timeTicks)
+}
+
 // tickLayout shows parts of a second only on short time lines.
-func tickLayout(total time.Duration) string {
-	if total < time.Minute {
-		return "15:04:05.0"
+func tickLayout(step time.Duration) string {
+	if step < time.Second {
+		return "15:04:05.00"
 	}
 	return "15:04:05"
 }
 
-// niceTop returns an upper end of the scale of 1, 2, 4 or 8 times a power of ten
-// above all values.
+// scaleTops are the upper ends of a scale between 1 and 10.
+var scaleTops = []float64{1, 1.2, 1.6, 2, 2.4, 3, 4, 5, 6, 8, 10}
+
+// niceTop returns a round upper end of the scale above all values.
 func niceTop(lines []series) float64 {
 	highest := 0.0
 	for _, line := range lines {
@@ -149,9 +162,9 @@
 		return 1
 	}
 	power := math.Pow(10, math.Floor(math.Log10(highest)))
-	for _, step := range []float64{1, 2, 4, 8} {
-		if highest <= step*power {
-			return step * power
+	for _, top := range scaleTops {
+		if highest <= top*power {
+			return top * power
 		}
 	}
 	return 10 * power
@@ -163,7 +176,7 @@
 }
 
 func clip(name string) string {
-	const longest = 18
+	const longest = 15
 	if runes := []rune(name); len(runes) > longest {
 		return string(runes[:longest]) + "…"
 	}
