--- a/standin/bench/measure_test.go
+++ b/standin/bench/measure_test.go
@@ -85,9 +85,9 @@
 				"first":       0.4,
 				"wasted":      0.5,
 				"recovery":    0.5, // four buckets in a row after the one that k3 started in
-				"attempts":    1,    // the run that never ended is no proof of a second attempt
-				"lost":        1,    // k5
-				"doubled":     1,    // k4
+				"attempts":    1,   // the run that never ended is no proof of a second attempt
+				"lost":        1,   // k5
+				"doubled":     1,   // k4
 				"unknown":     1,
 				"notrun":      1,
 				"half":        0.3 / 40,
