--- a/membership/apply.go
+++ b/membership/apply.go
@@ -65,23 +65,25 @@
 	}
 	r := record{who: c.full.who}
 	t.adopt(&r, c)
-	if t.replaceAt(&r) {
+	if t.takeAddress(&r) {
 		t.store(nil, &r, true)
 	}
 	return nil
 }
 
-// replaceAt ends the instance that r replaces at its address. It returns false if
-// r itself is the one that was replaced.
-func (t *Table) replaceAt(r *record) bool {
+// takeAddress ends the instance that r replaces at its address. It returns false if
+// r did not surely start after the one that is known there; clocks may have been
+// set back, so that one is probed, and who answers decides.
+func (t *Table) takeAddress(r *record) bool {
 	other, ok := t.members.atAddress(r.who.address)
 	if !ok || other.who.ref == r.who.ref {
 		return true
 	}
-	if other.who.ref == t.self.who.ref || other.who.started > r.who.started {
-		r.health = left
-		r.since = t.now
-		t.store(nil, r, true)
+	if other.who.ref == t.self.who.ref {
+		return false
+	}
+	if other.who.started >= r.who.started {
+		t.doubt(&other)
 		return false
 	}
 	t.end(&other)
@@ -100,8 +102,10 @@
 // update takes a claim about a member that the table holds. It returns whether
 // the full record is needed.
 func (t *Table) update(r *record, c *claim) bool {
+	if (c.health == dead) != (r.health == dead) && c.incarnation == r.incarnation && c.health != left {
+		t.doubt(r)
+	}
 	if c.health == dead {
-		t.doubt(r, c)
 		return false
 	}
 	before := *r
@@ -121,14 +125,14 @@
 	return c.profile > r.profile && r.live()
 }
 
-// doubt has a member probed that another node holds for dead.
-func (t *Table) doubt(r *record, c *claim) {
-	if r.health != alive || c.incarnation < r.incarnation || len(t.doubts) >= maxDoubts {
+// doubt has a member probed that is dead for another node and alive for this one,
+// or the other way round. If it is alive it raises its incarnation, which settles
+// the matter for both.
+func (t *Table) doubt(r *record) {
+	if r.health == left || len(t.doubts) >= maxDoubts || slices.Contains(t.doubts, r.who.ref) {
 		return
 	}
-	if !slices.Contains(t.doubts, r.who.ref) {
-		t.doubts = append(t.doubts, r.who.ref)
-	}
+	t.doubts = append(t.doubts, r.who.ref)
 }
 
 // adopt copies a claim into a record.
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -11,7 +11,8 @@
 // that have seen the same claims in any order are equal.
 //
 // A member is named by a reference, a 64-bit hash of its instance id. A new
-// instance at the address of another one ends the other at once.
+// instance at the address of another one ends the other at once; it is told from
+// the other by the start of its process, or by who answers at the address.
 //
 // # Failure detection
 //
@@ -25,7 +26,8 @@
 //
 // A dead member is kept for a while and probed now and then, so regions that
 // were cut off from each other meet again. A node that learns in a comparison of
-// tables that another one holds a member for dead probes that member itself.
+// tables that a member which it holds for alive is dead for another node, or the
+// other way round, probes that member itself.
 //
 // # Spread
 //
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -1,7 +1,9 @@
 package membership_test
 
 import (
+	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +13,10 @@
 	"github.com/gypsumford/gypsumford/membership/membershiptest"
 )
 
+// A fixed seed gives each run the same verdict; -rapid.seed of the command line goes
+// before it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 const (
 	machineNodes   = 12
 	machineDomains = 3
@@ -50,6 +56,7 @@
 	}
 	m.f.Loss = 0.05
 	m.f.Duplicate = 0.02
+	m.f.Late = 0.2
 	m.f.Jitter = 40 * time.Millisecond
 	m.f.Check = func(document []byte) error {
 		if string(document) == "bad" {
@@ -133,6 +140,33 @@
 	m.stop(n)
 }
 
+// pauseAcrossDrain pauses one node while another one drains, so that the first
+// wakes with a table that is out of date.
+func (m *machine) pauseAcrossDrain(t *rapid.T) {
+	_, sleeper := m.node(t)
+	i, n := m.node(t)
+	if sleeper == n || !sleeper.Running || sleeper.Paused || !n.Running || n.Paused || m.leaving[i] {
+		t.Skip("needs two nodes that run")
+	}
+	m.f.Pause(index(m.f, sleeper))
+	m.f.Run(time.Second)
+	m.f.SetState(i, fleet.Ready)
+	m.f.Run(4 * time.Second)
+	m.f.SetState(i, fleet.Draining)
+	m.stop(n)
+	m.f.Run(5 * time.Second)
+	m.f.Resume(index(m.f, sleeper))
+	m.check(t)
+	for range 10 {
+		m.f.Run(50 * time.Millisecond)
+		m.check(t)
+	}
+}
+
+func index(f *membershiptest.Fleet, n *membershiptest.Node) int {
+	return slices.Index(f.Nodes, n)
+}
+
 func (m *machine) leave(t *rapid.T) {
 	i, n := m.node(t)
 	if !n.Running || n.Paused || m.leaving[i] || m.f.Active() < machineNodes/2 {
@@ -322,6 +356,7 @@
 			"pause":     m.pause,
 			"resume":    m.resume,
 			"drain":     m.drain,
+			"asleep":    m.pauseAcrossDrain,
 			"leave":     m.leave,
 			"ready":     m.ready,
 			"cut off":   m.cutOff,
--- a/membership/membershiptest/config.go
+++ b/membership/membershiptest/config.go
@@ -14,9 +14,10 @@
 		return
 	}
 	n.reading = true
+	version, document := f.Platform.Version, f.Platform.Document
 	f.Platform.Calls++
 	table := n.Rollout
-	f.events.add(platformMs, event{call: func() {
+	f.events.add(platformMs+f.lateMs(), event{call: func() {
 		if n.Rollout != table || !n.active() {
 			n.reading = false
 			return
@@ -25,12 +26,26 @@
 		if f.Platform.Down {
 			return
 		}
-		n.Rollout.PlatformAnswered(f.Now, f.Platform.Version)
-		n.BytesPulled += uint64(len(f.Platform.Document))
-		f.offer(n, f.Platform.Version, f.Platform.Document)
+		n.Rollout.PlatformAnswered(f.Now, version)
+		n.BytesPulled += uint64(len(document))
+		f.offer(n, version, document)
 	}})
 }
 
+// startUp has a new node ask some peers for their configuration until it is ready.
+func (f *Fleet) startUp(n *Node) {
+	if !n.starting || n.Rollout.Ready(f.Now) {
+		n.starting = false
+		return
+	}
+	for range startUpPeers {
+		peer := f.Nodes[f.rng.IntN(len(f.Nodes))]
+		if peer != n && n.Members.Knows(peer.Instance.PeerAddress) {
+			f.pull(n, rollout.Pull{Peer: peer.Instance.ID, Address: peer.Instance.PeerAddress})
+		}
+	}
+}
+
 // pull asks a peer for its configuration, like twirp's PullConfig.
 func (f *Fleet) pull(n *Node, pull rollout.Pull) {
 	i, ok := f.byAddress[pull.Address]
@@ -48,7 +63,7 @@
 		}
 		version, document := peer.Rollout.Version(), peer.Rollout.Document()
 		peer.BytesServed += uint64(len(document))
-		f.events.add(f.delayMs(peer, n), event{call: func() {
+		f.events.add(f.delayMs(peer, n)+f.lateMs(), event{call: func() {
 			if n.Rollout != table || !n.active() {
 				return
 			}
@@ -61,6 +76,14 @@
 	}})
 }
 
+// lateMs is a further delay of a share of the answers that carry a document.
+func (f *Fleet) lateMs() int {
+	if f.Late == 0 || f.rng.Float64() >= f.Late {
+		return 0
+	}
+	return f.rng.IntN(lateLimitMs)
+}
+
 func (f *Fleet) offer(n *Node, version uint64, document []byte) rollout.OfferResult {
 	check := f.Check
 	if check == nil {
--- a/membership/membershiptest/fleet.go
+++ b/membership/membershiptest/fleet.go
@@ -16,6 +16,8 @@
 	platformMs   = 5    // delay of a read of the platform
 	joinRetryMs  = 1000 // between two tries of a new node to join
 	joinAttempts = 30
+	startUpPeers = 3
+	lateLimitMs  = 4000
 )
 
 // Options describe a Fleet.
@@ -46,6 +48,8 @@
 	// Loss and Duplicate are shares of the datagrams.
 	Loss      float64
 	Duplicate float64
+	// Late is a share of the answers with a configuration that take up to 4 s longer.
+	Late float64
 	// Cut reports whether nothing passes between two nodes; nil for never.
 	Cut func(a, b *Node) bool
 	// Check is the check of each offered document; nil takes all.
@@ -93,7 +97,8 @@
 			continue
 		}
 		if i > 0 {
-			f.join(f.Nodes[i].Members, i, joinAttempts)
+			f.Nodes[i].starting = true
+			f.join(f.Nodes[i].Members, i, i, joinAttempts)
 		}
 	}
 	return f
@@ -229,6 +234,7 @@
 		}
 	}
 	f.watch(n)
+	f.startUp(n)
 	for _, pull := range n.Rollout.Tick(f.Now) {
 		f.pull(n, pull)
 	}
--- a/membership/membershiptest/lifecycle.go
+++ b/membership/membershiptest/lifecycle.go
@@ -36,21 +36,22 @@
 func (f *Fleet) Restart(i int) {
 	f.restarts++
 	f.start(i, f.instance(i), nil)
-	f.join(f.Nodes[i].Members, i, joinAttempts)
+	f.Nodes[i].starting = true
+	f.join(f.Nodes[i].Members, i, len(f.Nodes), joinAttempts)
 }
 
-// join exchanges tables with a random running node, and again with another one
-// until the table holds others.
-func (f *Fleet) join(table *membership.Table, i, attempts int) {
+// join exchanges tables with a random running node among the first ones, and again
+// with another one until the table holds others.
+func (f *Fleet) join(table *membership.Table, i, first, attempts int) {
 	n := f.Nodes[i]
 	if n.Members != table || !n.Running || table.Len() > 1 || attempts == 0 {
 		return
 	}
-	peer := f.rng.IntN(len(f.Nodes))
+	peer := f.rng.IntN(first)
 	if peer != i && f.Nodes[peer].active() {
 		f.exchange(table, i, peer)
 	}
-	f.events.add(joinRetryMs, event{call: func() { f.join(table, i, attempts-1) }})
+	f.events.add(joinRetryMs, event{call: func() { f.join(table, i, first, attempts-1) }})
 }
 
 // exchange swaps whole tables, like twirp's ExchangeMembers.
--- a/membership/membershiptest/node.go
+++ b/membership/membershiptest/node.go
@@ -9,7 +9,7 @@
 )
 
 // maxBuffered is the number of datagrams that a paused node's socket keeps.
-const maxBuffered = 256
+const maxBuffered = 16
 
 // Node is one node of a Fleet.
 type Node struct {
@@ -33,6 +33,7 @@
 	index    int
 	buffered []datagram
 	reading  bool // a read of the platform is under way
+	starting bool // the node asks peers for their configuration until it is ready
 }
 
 // headerBytes is what IP and UDP add to a datagram.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -37,11 +37,20 @@
 	for range min(doubtsPerTick, len(t.doubts)) {
 		ref := t.doubts[0]
 		t.doubts = t.doubts[1:]
-		out = t.probe(out, ref)
+		out = t.probeDoubted(out, ref)
 	}
 	return out
 }
 
+// probeDoubted probes a member of whom another node holds the opposite.
+func (t *Table) probeDoubted(out []Message, ref reference) []Message {
+	r, ok := t.members.get(ref)
+	if ok && r.health == dead {
+		return t.pingDead(out, ref)
+	}
+	return t.probe(out, ref)
+}
+
 // probeSlotMember probes the member whose turn it is: one of the successors or a
 // random one.
 func (t *Table) probeSlotMember(out []Message) []Message {
--- /dev/null
+++ b/membership/scenario_test.go
@@ -0,0 +1,228 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/membership/membershiptest"
+)
+
+// lossyFleet is 100 nodes in 4 failure domains of 2 regions that lose one datagram
+// in 20.
+func lossyFleet(seed uint64) *membershiptest.Fleet { return lossyFleetOf(100, seed) }
+
+func lossyFleetOf(nodes int, seed uint64) *membershiptest.Fleet {
+	f := membershiptest.New(membershiptest.Options{
+		Nodes:    nodes,
+		Domains:  4,
+		Regions:  2,
+		Services: 5,
+		Seed:     seed,
+		Known:    true,
+	})
+	f.Loss = 0.05
+	f.Jitter = 30 * time.Millisecond
+	f.Run(2 * time.Second)
+	return f
+}
+
+func everywhere(f *membershiptest.Fleet, i int, accept func(fleet.Instance, bool) bool) func() bool {
+	id := f.Nodes[i].Instance.ID
+	return func() bool {
+		_, missing := f.Seen(id, accept)
+		return missing == 0
+	}
+}
+
+// within lets time pass until done, at most limit.
+func within(f *membershiptest.Fleet, limit time.Duration, done func() bool) {
+	_, ok := f.RunUntil(limit, done)
+	convey.So(ok, convey.ShouldBeTrue)
+}
+
+func TestNewsReachesEveryNodeInTime(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		convey.Convey("Given 100 nodes with loss", t, func() {
+			f := lossyFleet(seed)
+			convey.Convey("a target that drains is known in 3 s", func() {
+				f.SetState(3, fleet.Draining)
+				within(f, 3*time.Second, everywhere(f, 3, membershiptest.Gone))
+			})
+			convey.Convey("a node that leaves is known in 3 s", func() {
+				f.Leave(3)
+				f.Run(500 * time.Millisecond)
+				f.Kill(3)
+				within(f, 2500*time.Millisecond, everywhere(f, 3, membershiptest.Gone))
+			})
+			convey.Convey("a dead node is known in 5 s", func() {
+				f.Kill(3)
+				within(f, 5*time.Second, everywhere(f, 3, membershiptest.Dead))
+			})
+			convey.Convey("a configuration is in force in 5 s", func() {
+				version := f.Platform.Put([]byte("new"))
+				within(f, 5*time.Second, func() bool {
+					_, missing := f.InForce(version)
+					return missing == 0
+				})
+			})
+			convey.Convey("a lost failure domain is known in 10 s", func() {
+				for i := 0; i < 100; i += 4 {
+					f.Kill(i)
+				}
+				within(f, 10*time.Second, func() bool {
+					for i := 0; i < 100; i += 4 {
+						if !everywhere(f, i, membershiptest.Dead)() {
+							return false
+						}
+					}
+					return true
+				})
+			})
+		})
+	}
+}
+
+func TestReplacedInstance(t *testing.T) {
+	convey.Convey("A new instance at an address ends the old one everywhere, without a suspicion", t, func() {
+		f := lossyFleet(1)
+		old := f.Nodes[3].Instance.ID
+		f.Kill(3)
+		f.Restart(3)
+		within(f, 3*time.Second, everywhere(f, 3, membershiptest.Ready))
+		_, missing := f.Seen(old, membershiptest.Dead)
+		convey.So(missing, convey.ShouldEqual, 0)
+		convey.So(f.Nodes[3].Members.Len(), convey.ShouldEqual, 100)
+	})
+}
+
+func TestPausedNode(t *testing.T) {
+	convey.Convey("Given a node that is paused until all hold it for dead", t, func() {
+		f := lossyFleet(1)
+		f.Loss = 0
+		f.Pause(3)
+		within(f, 5*time.Second, everywhere(f, 3, membershiptest.Dead))
+		f.Run(10 * time.Second)
+		refuted := refutations(f)
+		convey.Convey("it is not fresh when it wakes, then objects and is alive everywhere", func() {
+			before := f.Nodes[3].Members.Self().Incarnation
+			f.Resume(3)
+			convey.So(f.Nodes[3].Members.Fresh(f.Now), convey.ShouldBeFalse)
+			within(f, 3*time.Second, everywhere(f, 3, membershiptest.Ready))
+			within(f, time.Second, func() bool { return f.Nodes[3].Members.Fresh(f.Now) })
+			convey.So(f.Nodes[3].Members.Self().Incarnation, convey.ShouldBeGreaterThan, before)
+		})
+		convey.Convey("it suspects nobody for the time in which it did not listen", func() {
+			f.Resume(3)
+			f.Run(5 * time.Second)
+			convey.So(refutations(f)-refuted, convey.ShouldBeLessThanOrEqualTo, 1) // its own
+			convey.So(f.Nodes[3].Members.Counters().Deaths, convey.ShouldEqual, 0)
+		})
+	})
+}
+
+func refutations(f *membershiptest.Fleet) uint64 {
+	var sum uint64
+	for _, n := range f.Nodes {
+		sum += n.Members.Counters().Refutations
+	}
+	return sum
+}
+
+func TestCutOffNodeDeclaresNobodyDead(t *testing.T) {
+	convey.Convey("A node that hears nobody is not fresh and declares few dead", t, func() {
+		f := lossyFleet(1)
+		alone := f.Nodes[3]
+		f.Cut = func(a, b *membershiptest.Node) bool { return a == alone || b == alone }
+		f.Run(time.Minute)
+		convey.So(alone.Members.Fresh(f.Now), convey.ShouldBeFalse)
+		convey.So(alone.Members.Counters().Deaths, convey.ShouldBeLessThanOrEqualTo, 4)
+		f.Cut = nil
+		f.Run(10 * time.Second)
+		convey.So(alone.Members.Fresh(f.Now), convey.ShouldBeTrue)
+		convey.So(alone.Members.Len(), convey.ShouldEqual, 100)
+		within(f, time.Second, everywhere(f, 3, membershiptest.Ready))
+	})
+}
+
+func TestNewsLostToACutIsFound(t *testing.T) {
+	convey.Convey("A drain that happens while a region is cut off for less than a suspicion is known there soon after", t, func() {
+		f := lossyFleet(1)
+		f.Cut = func(a, b *membershiptest.Node) bool { return a.Instance.Region != b.Instance.Region }
+		f.SetState(3, fleet.Draining)
+		f.Run(1200 * time.Millisecond)
+		f.Cut = nil
+		within(f, 6*time.Second, everywhere(f, 3, membershiptest.Gone))
+	})
+}
+
+func TestRegionsPartAndMeet(t *testing.T) {
+	convey.Convey("Regions that are parted for an hour meet again", t, func() {
+		f := lossyFleetOf(24, 1)
+		f.Cut = func(a, b *membershiptest.Node) bool { return a.Instance.Region != b.Instance.Region }
+		f.Run(10 * time.Second)
+		for _, n := range f.Nodes {
+			convey.So(n.Members.Len(), convey.ShouldEqual, 12)
+		}
+		f.Run(time.Hour)
+		deaths := deathsOf(f)
+		f.Cut = nil
+		within(f, 60*time.Second, func() bool {
+			for _, n := range f.Nodes {
+				if n.Members.Len() != 24 {
+					return false
+				}
+			}
+			return true
+		})
+		convey.So(deathsOf(f), convey.ShouldEqual, deaths) // nobody dies for the other side's word
+	})
+}
+
+func deathsOf(f *membershiptest.Fleet) uint64 {
+	var sum uint64
+	for _, n := range f.Nodes {
+		sum += n.Members.Counters().Deaths
+	}
+	return sum
+}
+
+func TestRollingRestart(t *testing.T) {
+	convey.Convey("After each node was replaced, all know all and nobody else", t, func() {
+		f := lossyFleet(1)
+		version := f.Platform.Put([]byte("new"))
+		f.Run(5 * time.Second)
+		f.Platform.Down = true
+		for i := range f.Nodes {
+			f.Leave(i)
+			f.Run(300 * time.Millisecond)
+			f.Kill(i)
+			f.Run(100 * time.Millisecond)
+			f.Restart(i)
+			f.Run(400 * time.Millisecond)
+		}
+		f.Run(20 * time.Second)
+		for _, n := range f.Nodes {
+			convey.So(n.Members.Len(), convey.ShouldEqual, 100)
+			convey.So(n.Rollout.Version(), convey.ShouldEqual, version)
+			convey.So(n.Rollout.Ready(f.Now), convey.ShouldBeTrue)
+		}
+	})
+}
+
+func TestFleetFormsFromSeeds(t *testing.T) {
+	convey.Convey("Nodes that know only one peer each know all after a while", t, func() {
+		f := membershiptest.New(membershiptest.Options{Nodes: 40, Domains: 4, Regions: 2, Services: 3, Seed: 1})
+		f.Loss = 0.05
+		within(f, 30*time.Second, func() bool {
+			for _, n := range f.Nodes {
+				if n.Members.Len() != 40 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -175,6 +175,9 @@
 	if c.profile > their.profile {
 		return fullClaimOf(r, t.now, t.cfg.Suspicion), true
 	}
+	if their.health == dead && r.live() {
+		return c, true
+	}
 	held := record{incarnation: their.incarnation, health: their.health}
 	return c, c.replaces(&held)
 }
--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,225 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/membership"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func instance(i int) fleet.Instance {
+	return fleet.Instance{
+		ID:            fleet.InstanceID(fmt.Sprintf("i%03d", i)),
+		PeerAddress:   fmt.Sprintf("10.0.0.%d:7000", i),
+		FailureDomain: "d1",
+		Region:        "r1",
+		Service:       "search",
+		Slots:         70,
+		State:         fleet.Ready,
+	}
+}
+
+// TestClaimsInAnyOrder takes the packets that some nodes sent in two orders, with
+// repetitions, and holds that both tables are equal: claims form a join of a
+// lattice.
+func TestClaimsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		packets := packetsOfLives(t)
+		orders := rapid.Permutation(packets)
+		a := membership.NewTable(membership.Config{}, instance(200), start, 1)
+		b := membership.NewTable(membership.Config{}, instance(200), start, 2)
+		receiveAll(t, a, orders.Draw(t, "first order"))
+		receiveAll(t, b, orders.Draw(t, "second order"))
+		receiveAll(t, b, packets)
+		receiveAll(t, a, packets)
+		for i := range 4 {
+			inA, knownA := a.Get(instance(i).ID)
+			inB, knownB := b.Get(instance(i).ID)
+			if knownA != knownB || inA != inB {
+				t.Fatalf("member %d: %+v, in the other order %+v", i, inA, inB)
+			}
+		}
+	})
+}
+
+// packetsOfLives returns what four nodes say of themselves while their targets
+// change state at random and two of them leave.
+func packetsOfLives(t *rapid.T) [][]byte {
+	var packets [][]byte
+	for i := range 4 {
+		own := membership.NewTable(membership.Config{}, instance(i), start, uint64(i))
+		_, err := own.Merge(start, membership.NewTable(membership.Config{}, instance(200), start, 1).Snapshot(start))
+		if err != nil {
+			t.Fatal(err)
+		}
+		packets = append(packets, bytesOf(own.Tick(start))...)
+		states := rapid.SliceOfN(rapid.SampledFrom([]fleet.State{fleet.Starting, fleet.Ready, fleet.Draining}), 0, 4)
+		for _, state := range states.Draw(t, "states") {
+			slots := rapid.IntRange(1, 3).Draw(t, "slots")
+			packets = append(packets, bytesOf(own.SetTarget(start, "search", slots, state))...)
+		}
+		if i < 2 {
+			packets = append(packets, bytesOf(own.Leave(start))...)
+		}
+	}
+	return packets
+}
+
+func bytesOf(messages []membership.Message) [][]byte {
+	var all [][]byte
+	for _, m := range messages {
+		all = append(all, m.Data)
+	}
+	return all
+}
+
+func receiveAll(t *rapid.T, table *membership.Table, packets [][]byte) {
+	for _, packet := range packets {
+		if _, err := table.Receive(start, "10.0.0.1:7000", packet); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestAnyBytes feeds random and damaged packets.
+func TestAnyBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := membership.NewTable(membership.Config{MaxMembers: 8}, instance(1), start, 1)
+		other := membership.NewTable(membership.Config{}, instance(2), start, 1)
+		if _, err := table.Merge(start, other.Snapshot(start)); err != nil {
+			t.Fatal(err)
+		}
+		valid := bytesOf(table.Tick(start.Add(time.Second)))
+		data := rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")
+		if len(valid) > 0 && rapid.Bool().Draw(t, "damage a packet") {
+			data = append([]byte(nil), valid[0]...)
+			for range rapid.IntRange(1, 4).Draw(t, "changes") {
+				data[rapid.IntRange(0, len(data)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+			}
+		}
+		_, _ = table.Receive(start, "10.0.0.2:7000", data)
+		_, _ = other.Receive(start, "10.0.0.1:7000", data)
+		_, _ = table.Merge(start, data)
+		_, _ = membership.DecodeSeed(data)
+		if len(table.All()) > 8 {
+			t.Fatalf("%d members, at most 8", len(table.All()))
+		}
+		table.Tick(start.Add(2 * time.Second))
+	})
+}
+
+func TestTableIsBounded(t *testing.T) {
+	convey.Convey("A full table refuses members with an error and a counter", t, func() {
+		table := membership.NewTable(membership.Config{MaxMembers: 8}, instance(0), start, 1)
+		var err error
+		for i := 1; i <= 20; i++ {
+			other := membership.NewTable(membership.Config{}, instance(i), start, 1)
+			_, err = table.Merge(start, other.Snapshot(start))
+		}
+		convey.So(err, convey.ShouldWrap, membership.ErrFull)
+		convey.So(len(table.All()), convey.ShouldEqual, 8)
+		convey.So(table.Counters().RefusedMembers, convey.ShouldBeGreaterThan, 0)
+	})
+}
+
+// pair is two tables that know each other.
+func pair() (a, b *membership.Table) {
+	base := membership.NewBase([]fleet.Instance{instance(0), instance(1)})
+	a = membership.NewTableFrom(membership.Config{}, instance(0), start, 1, base)
+	b = membership.NewTableFrom(membership.Config{}, instance(1), start, 2, base)
+	return a, b
+}
+
+func TestAnswersFromBeforeAPauseMakeNoTableFresh(t *testing.T) {
+	convey.Convey("Given a node that compares tables after a pause and is paused again", t, func() {
+		a, b := pair()
+		wakes := start.Add(10 * time.Second)
+		var late []membership.Message
+		for _, m := range a.Tick(wakes) {
+			answer, err := b.Receive(wakes, instance(0).PeerAddress, m.Data)
+			convey.So(err, convey.ShouldBeNil)
+			late = append(late, answer...)
+		}
+		again := wakes.Add(10 * time.Second)
+		a.Tick(again)
+		convey.Convey("answers to its first comparison leave it not fresh", func() {
+			for _, m := range late {
+				_, err := a.Receive(again, instance(1).PeerAddress, m.Data)
+				convey.So(err, convey.ShouldBeNil)
+			}
+			convey.So(a.Fresh(again), convey.ShouldBeFalse)
+		})
+	})
+}
+
+// TestMutualDeathEnds holds that two nodes that hold each other for dead exchange
+// a bounded number of packets about it.
+func TestMutualDeathEnds(t *testing.T) {
+	convey.Convey("Two nodes that hold each other for dead agree in a few packets", t, func() {
+		a, b := pair()
+		now := start
+		for range 100 {
+			now = now.Add(membership.TickInterval)
+			a.Tick(now)
+			b.Tick(now)
+		}
+		convey.So(a.Len(), convey.ShouldEqual, 1)
+		convey.So(b.Len(), convey.ShouldEqual, 1)
+		inFlight := a.SetTarget(now, "search", 70, fleet.Draining)
+		inFlight = append(inFlight, membership.Message{To: instance(1).PeerAddress, Data: deadPing(a, now)})
+		passed := 0
+		for len(inFlight) > 0 && passed < 100 {
+			m := inFlight[0]
+			inFlight = inFlight[1:]
+			passed++
+			to, from := a, instance(1).PeerAddress
+			if m.To == instance(1).PeerAddress {
+				to, from = b, instance(0).PeerAddress
+			}
+			answers, err := to.Receive(now, from, m.Data)
+			convey.So(err, convey.ShouldBeNil)
+			inFlight = append(inFlight, answers...)
+		}
+		convey.So(passed, convey.ShouldBeLessThan, 30)
+		convey.So(a.Len(), convey.ShouldEqual, 2)
+		convey.So(b.Len(), convey.ShouldEqual, 2)
+	})
+}
+
+// deadPing returns the ping with which a retries a dead member.
+func deadPing(a *membership.Table, now time.Time) []byte {
+	for range 10_000 {
+		now = now.Add(membership.TickInterval)
+		if out := a.Tick(now); len(out) > 0 {
+			return out[0].Data
+		}
+	}
+	return nil
+}
+
+func TestSeeds(t *testing.T) {
+	convey.Convey("The seed objects of a failure domain have one holder each, which refreshes them", t, func() {
+		a, b := pair()
+		writes := append(a.SeedWrites(start), b.SeedWrites(start)...)
+		convey.So(len(writes), convey.ShouldEqual, membership.SeedSlots)
+		for _, w := range writes {
+			convey.So(membership.SeedKeys("d1"), convey.ShouldContain, w.Key)
+			addresses, err := membership.DecodeSeed(w.Value)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(len(addresses), convey.ShouldBeGreaterThan, 0)
+			a.SeedWritten(start, w.Key)
+			b.SeedWritten(start, w.Key)
+		}
+		later := start.Add(membership.SeedRefresh / 2)
+		convey.So(append(a.SeedWrites(later), b.SeedWrites(later)...), convey.ShouldBeEmpty)
+		due := start.Add(membership.SeedRefresh)
+		convey.So(len(append(a.SeedWrites(due), b.SeedWrites(due)...)), convey.ShouldEqual, membership.SeedSlots)
+	})
+}
