--- a/membership/table.go
+++ b/membership/table.go
@@ -122,7 +122,7 @@
 	for _, ref := range t.suspects {
 		r, ok := t.members.get(ref)
 		if ok && r.health == suspect {
-			r.deadline += gap
+			r.deadline = min(r.deadline+gap, t.now+t.cfg.Suspicion) // it may be younger than the pause
 			t.members.put(r)
 		}
 	}
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -138,23 +138,112 @@
 }
 
 func TestAnswersFromBeforeAPauseMakeNoTableFresh(t *testing.T) {
-	convey.Convey("Given a node that compares tables after a pause and is paused again", t, func() {
+	for _, rounds := range []int{1, 3} {
+		convey.Convey("Given a node that compares tables after a pause and is paused again", t, func() {
+			a, b := pair()
+			b.SetTarget(start, "search", 70, fleet.Draining)
+			wakes := start.Add(10 * time.Second)
+			late := a.Tick(wakes)
+			for range rounds {
+				late = pass(late, a, b, wakes)
+			}
+			again := wakes.Add(10 * time.Second)
+			a.Tick(again)
+			convey.Convey("answers to its first comparison leave it not fresh", func() {
+				for _, m := range late {
+					_, err := a.Receive(again, instance(1).PeerAddress, m.Data)
+					convey.So(err, convey.ShouldBeNil)
+				}
+				convey.So(a.Fresh(again), convey.ShouldBeFalse)
+			})
+		})
+	}
+}
+
+// pass gives b what a sent, a what b answers unless that is held back, and returns
+// b's last answers.
+func pass(fromA []membership.Message, a, b *membership.Table, now time.Time) []membership.Message {
+	var fromB []membership.Message
+	for _, m := range fromA {
+		to, from := b, instance(0).PeerAddress
+		if m.To == from {
+			to, from = a, instance(1).PeerAddress
+		}
+		answers, err := to.Receive(now, from, m.Data)
+		convey.So(err, convey.ShouldBeNil)
+		fromB = append(fromB, answers...)
+	}
+	return fromB
+}
+
+func TestWakingNode(t *testing.T) {
+	convey.Convey("Given a node that wakes after a long pause", t, func() {
+		instances := []fleet.Instance{instance(0), instance(1), instance(2)}
+		base := membership.NewBase(instances)
+		a := membership.NewTableFrom(membership.Config{}, instance(0), start, 1, base)
+		wakes := start.Add(100 * time.Second)
+		convey.Convey("its first tick raises its incarnation", func() {
+			a.Tick(wakes)
+			convey.So(a.Self().Incarnation, convey.ShouldEqual, 1)
+		})
+		convey.Convey("a suspicion that it reads before its first tick runs out in time", func() {
+			b := membership.NewTableFrom(membership.Config{}, instance(1), wakes, 2, base)
+			now := wakes
+			for a.Counters().Suspects == 0 {
+				for _, m := range b.Tick(now) {
+					_, _ = a.Receive(wakes, instance(1).PeerAddress, m.Data)
+				}
+				now = now.Add(membership.TickInterval)
+			}
+			for i := range 50 {
+				a.Tick(wakes.Add(time.Duration(i) * membership.TickInterval))
+			}
+			member, _ := a.Get(instance(2).ID)
+			convey.So(member.State, convey.ShouldEqual, fleet.Dead)
+		})
+	})
+}
+
+func TestReplacedInstanceStaysLeft(t *testing.T) {
+	convey.Convey("Given a table that holds an instance", t, func() {
 		a, b := pair()
-		wakes := start.Add(10 * time.Second)
-		var late []membership.Message
-		for _, m := range a.Tick(wakes) {
-			answer, err := b.Receive(wakes, instance(0).PeerAddress, m.Data)
+		successor := instance(1)
+		successor.ID = "successor"
+		later := start.Add(time.Minute)
+		next := membership.NewTable(membership.Config{}, successor, later, 3)
+		convey.Convey("the word of a new instance at its address ends it at once", func() {
+			_, err := a.Merge(later, next.Snapshot(later))
 			convey.So(err, convey.ShouldBeNil)
-			late = append(late, answer...)
-		}
-		again := wakes.Add(10 * time.Second)
-		a.Tick(again)
-		convey.Convey("answers to its first comparison leave it not fresh", func() {
-			for _, m := range late {
-				_, err := a.Receive(again, instance(1).PeerAddress, m.Data)
-				convey.So(err, convey.ShouldBeNil)
+			old, _ := a.Get(instance(1).ID)
+			convey.So(old.State, convey.ShouldEqual, fleet.Left)
+			member, _ := a.Get(successor.ID)
+			convey.So(member.State, convey.ShouldEqual, fleet.Ready)
+			convey.Convey("and a late word of the old one does not bring it back", func() {
+				for _, m := range b.SetTarget(start, "search", 1, fleet.Ready) {
+					_, err := a.Receive(later, instance(1).PeerAddress, m.Data)
+					convey.So(err, convey.ShouldBeNil)
+				}
+				old, _ := a.Get(instance(1).ID)
+				convey.So(old.State, convey.ShouldEqual, fleet.Left)
+			})
+		})
+		convey.Convey("one that by its clock started earlier is found by who answers", func() {
+			earlier := start.Add(-time.Hour)
+			next := membership.NewTable(membership.Config{}, successor, earlier, 3)
+			_, err := a.Merge(start, next.Snapshot(earlier))
+			convey.So(err, convey.ShouldBeNil)
+			now := start
+			for range 20 {
+				now = now.Add(membership.TickInterval)
+				for _, m := range a.Tick(now) {
+					answers, _ := next.Receive(earlier, instance(0).PeerAddress, m.Data)
+					for _, answer := range answers {
+						_, _ = a.Receive(now, successor.PeerAddress, answer.Data)
+					}
+				}
 			}
-			convey.So(a.Fresh(again), convey.ShouldBeFalse)
+			old, _ := a.Get(instance(1).ID)
+			convey.So(old.State, convey.ShouldEqual, fleet.Left)
 		})
 	})
 }
