Prove what the daemon promises: one attempt a send, whole answers, graceful stop

Ruled out: health probes by the node. Found: an answer that breaks off while still buffered reaches the caller as unknown, and a later one as a broken connection; never as whole.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,7 @@
 	seedTick         = 5 * time.Second
 	leaseTick        = 500 * time.Millisecond
 	rolloutTick      = 100 * time.Millisecond
+	boundaryTick     = 1 * time.Second
 )
 
 // Agent is one node.
@@ -301,6 +302,7 @@
 	go every(ctx, claimTick, a.paid.tick)
 	go every(ctx, leaseTick, a.target.expire)
 	go every(ctx, rolloutTick, a.rolloutTick)
+	go every(ctx, boundaryTick, a.watchBoundary())
 	go a.configurations.watch(ctx)
 	go func() {
 		a.seeds.join(ctx)
--- a/agent/announcements.go
+++ b/agent/announcements.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/gypsumford/gypsumford/agent/bus"
+	"github.com/gypsumford/gypsumford/call"
 	"github.com/gypsumford/gypsumford/timeline"
 )
 
@@ -15,6 +16,52 @@
 	}
 }
 
+// watchBoundary returns a function that announces where admission has moved
+// since its last call.
+func (a *Agent) watchBoundary() func() {
+	var last boundary
+	return func() {
+		current := a.delivery.boundary()
+		service, _, _ := a.target.get()
+		if current.limit != last.limit {
+			a.announce(bus.Announcement{
+				Topic: bus.TopicLimit, What: "limit-changed", Service: service, Value: float64(current.limit),
+			})
+		}
+		if current.refuses != last.refuses || current.class != last.class {
+			a.announceLevel(service, current)
+		}
+		last = current
+	}
+}
+
+func (a *Agent) announceLevel(service string, current boundary) {
+	change := bus.Announcement{Topic: bus.TopicLimit, What: "level-changed", Service: service, Value: 1}
+	if current.refuses {
+		status := a.levelStatus()
+		change.Detail, change.Value = status.class, status.share
+	}
+	a.announce(change)
+}
+
+// levelStatus is the level for callers without a name, as operators read it.
+type levelStatus struct {
+	class string  // class that is refused in part, "" if none is
+	share float64 // share of that class's ranks that pass, 0 to 1
+}
+
+func (a *Agent) levelStatus() levelStatus {
+	level := a.delivery.level("")
+	if level == call.AdmitAll {
+		return levelStatus{share: 1}
+	}
+	boundary := call.Priority(level)
+	return levelStatus{
+		class: a.inForce.get().className(boundary.Class()),
+		share: float64(boundary.Rank()) / float64(call.RankCount),
+	}
+}
+
 // subscribe writes announced changes to the time line and to the log.
 func (a *Agent) subscribe(ctx context.Context) error {
 	for _, topic := range bus.Topics() {
--- a/agent/delivery.go
+++ b/agent/delivery.go
@@ -205,6 +205,24 @@
 	d.hand(d.mu.queue.Tick(now, d.mu.scratch[:0]))
 }
 
+// boundary is where admission stands: how many calls run at once, and the class
+// that is refused in part.
+type boundary struct {
+	limit   int
+	refuses bool
+	class   call.Class // valid if refuses
+}
+
+// boundary returns where admission stands for callers without a name.
+func (d *delivery) boundary() boundary {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	level := d.mu.queue.Level("")
+	return boundary{
+		limit: d.mu.queue.Stats().Limit, refuses: level != call.AdmitAll, class: call.Priority(level).Class(),
+	}
+}
+
 func (d *delivery) setQueueConfig(config admission.Config) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -140,7 +140,7 @@
 	}
 	retry := d.config.get().inventory.Retry
 	wait := min(retry.BackoffMin<<min(t.tries-2, 16), retry.BackoffMax)
-	spread := float64(t.request.Call.Rank) / float64(1<<24)
+	spread := float64(t.request.Call.Rank) / call.RankCount
 	wait = time.Duration(float64(wait) * (0.5 + 0.5*spread))
 	if wait <= 0 {
 		return true
@@ -214,8 +214,7 @@
 	if to.ID == d.self {
 		return d.local.serve(ctx, r)
 	}
-	sender := link.Sender{Lamport: d.ring.lamport(), ConfigVersion: d.config.version()}
-	return d.link.Peer(ctx, to, link.DeliverPath, r, sender)
+	return d.link.Peer(ctx, to, link.DeliverPath, r, d.ring.lamport())
 }
 
 func sample(ctx context.Context, c *call.Call, reply *exchange.Reply, latency time.Duration) routing.Sample {
--- a/agent/link/link.go
+++ b/agent/link/link.go
@@ -67,14 +67,9 @@
 	HomePath    = "/home/"    // to the home of an idempotency key
 )
 
-// Sender is what a node tells of itself with each call to a peer.
-type Sender struct {
-	Lamport       uint64
-	ConfigVersion uint64
-}
-
-// Peer sends the call to another node, below DeliverPath or HomePath.
-func (l *Link) Peer(ctx context.Context, to fleet.Instance, path string, r *exchange.Request, s Sender) *exchange.Reply {
+// Peer sends the call to another node, below DeliverPath or HomePath. lamport is
+// the sender's logical time.
+func (l *Link) Peer(ctx context.Context, to fleet.Instance, path string, r *exchange.Request, lamport uint64) *exchange.Reply {
 	target := url.URL{
 		Scheme: "http", Host: to.PeerAddress,
 		Path:     path + r.Call.Service + "/" + r.Call.Operation + r.Rest,
@@ -83,7 +78,7 @@
 	header := http.Header{}
 	callhttp.CopyHeader(header, r.Header)
 	callhttp.WriteEnvelope(header, l.now(), &callhttp.Envelope{
-		Call: r.Call, Instance: to.ID, Lamport: s.Lamport, ConfigVersion: s.ConfigVersion,
+		Call: r.Call, Instance: to.ID, Lamport: lamport,
 	})
 	response, sent, err := l.send(ctx, r.Method, &target, header, r.Body)
 	if err != nil {
--- a/agent/metrics/metrics.go
+++ b/agent/metrics/metrics.go
@@ -23,7 +23,6 @@
 	Retries    *expvar.Map // calls sent again, by reason
 	Hedges     *expvar.Int // second tries sent beside a slow first one
 	BadInput   *expvar.Map // input refused, by where it came from
-	Probes     *expvar.Int // health probes sent to the own target
 	Platform   *expvar.Map // calls to the platform, by kind and result
 	Packets    *expvar.Map // membership packets and bytes, by direction
 	Claims     *expvar.Map // claims of idempotency keys, by result
@@ -50,7 +49,6 @@
 	s.Retries = s.newMap("calls_retried")
 	s.Hedges = s.newInt("calls_hedged")
 	s.BadInput = s.newMap("bad_input")
-	s.Probes = s.newInt("target_probes")
 	s.Platform = s.newMap("platform_calls")
 	s.Packets = s.newMap("membership_packets")
 	s.Claims = s.newMap("claims")
--- a/agent/operatorserver.go
+++ b/agent/operatorserver.go
@@ -50,18 +50,12 @@
 		return nil
 	}
 	stats := s.agent.delivery.stats()
-	status := &operator.TargetStatus{
+	level := s.agent.levelStatus()
+	return &operator.TargetStatus{
 		Service: service, Address: address, State: state.String(), Slots: uint32(s.agent.slotsOf(service)),
 		Limit: uint32(stats.Limit), Running: uint32(stats.Running), Queued: uint32(stats.Queued),
-		AdmittedShare: 1,
+		AdmittedShare: level.share, StrictestClass: level.class,
 	}
-	level := s.agent.delivery.level("")
-	if level != call.AdmitAll {
-		boundary := call.Priority(level)
-		status.StrictestClass = s.agent.inForce.get().className(boundary.Class())
-		status.AdmittedShare = float64(boundary.Rank()) / float64(1<<24)
-	}
-	return status
 }
 
 func (s *operatorServer) classes() []*operator.ClassCount {
--- a/agent/paid.go
+++ b/agent/paid.go
@@ -153,8 +153,7 @@
 	if home.ID == p.self {
 		return p.serve(ctx, r, op, key)
 	}
-	sender := link.Sender{Lamport: p.ring.lamport(), ConfigVersion: p.config.version()}
-	reply := p.link.Peer(ctx, home, link.HomePath, r, sender)
+	reply := p.link.Peer(ctx, home, link.HomePath, r, p.ring.lamport())
 	if reply.ConnectFailed {
 		p.dispatcher.unreachable(home.ID)
 	}
--- /dev/null
+++ b/agent/promises_test.go
@@ -0,0 +1,185 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/callhttp"
+)
+
+// behaviour lets a test change what a target does between two calls.
+type behaviour struct {
+	handle chan func(w http.ResponseWriter, r *http.Request)
+}
+
+func (b *behaviour) serve(n *testNode, w http.ResponseWriter, r *http.Request) {
+	select {
+	case handle := <-b.handle:
+		handle(w, r)
+	default:
+		askStock(n, w, r)
+	}
+}
+
+func (b *behaviour) next(handle func(w http.ResponseWriter, r *http.Request)) { b.handle <- handle }
+
+// startShop starts a shop and a stock node and waits until requests complete.
+func startShop(t *testing.T) (shop, stock *testNode, next func(func(http.ResponseWriter, *http.Request))) {
+	t.Helper()
+	fake, url := newFakePlatform(t)
+	fake.put(ConfigKey, []byte(testInventory))
+	b := &behaviour{handle: make(chan func(http.ResponseWriter, *http.Request), 1)}
+	shop = startNode(t, url, "shop", b.serve)
+	stock = startNode(t, url, "stock", countStock)
+	for _, node := range []*testNode{shop, stock} {
+		until(t, "a call completes", func() (bool, any) {
+			got := node.call("shop/look", "")
+			return got.status == http.StatusOK, got
+		})
+	}
+	return shop, stock, b.next
+}
+
+func TestGracefulStopCutsOffNothing(t *testing.T) {
+	shop, stock, next := startShop(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	next(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-release
+		child := shop.call("stock/count", "", callhttp.HeaderParent, r.Header.Get(callhttp.HeaderParent))
+		fmt.Fprint(w, child.body, "; ")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+		fmt.Fprint(w, "end")
+	})
+	answers := make(chan answer, 1)
+	go func() { answers <- stock.call("shop/look", "") }()
+	<-begun
+	shop.stop()
+	until(t, "the stopping node takes no new request", func() (bool, any) {
+		got := shop.call("shop/look", "")
+		return got.reason == "draining", got
+	})
+	until(t, "other nodes send it no new request", func() (bool, any) {
+		got := stock.call("shop/look", "")
+		return got.outcome == "not-run", got
+	})
+	runs := shop.runs.Load()
+	close(release)
+	got := <-answers
+	<-shop.done
+	Convey("The answer in flight, its child call included, came back whole", t, func() {
+		So(got.outcome, ShouldEqual, "completed")
+		So(got.body, ShouldEqual, "12 chairs for body; end")
+		So(shop.runs.Load(), ShouldEqual, runs)
+	})
+}
+
+func TestCancellationReachesTheTarget(t *testing.T) {
+	_, stock, next := startShop(t)
+	begun, cancelled := make(chan struct{}), make(chan struct{})
+	next(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http notices a closed connection only after that
+		close(begun)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	url := "http://" + stock.agent.callAddress() + "/call/shop/look"
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("body"))
+	go func() {
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			response.Body.Close()
+		}
+	}()
+	<-begun
+	cancel()
+	select {
+	case <-cancelled:
+	case <-time.After(settleTimeout):
+		t.Fatal("the target still runs a call whose caller went away")
+	}
+}
+
+func TestAnswersAreWholeOrUnknown(t *testing.T) {
+	shop, stock, next := startShop(t)
+	breakOff := func(w http.ResponseWriter, _ *http.Request) {
+		panic(http.ErrAbortHandler)
+	}
+	Convey("A target that breaks off before its answer leaves an unknown outcome, also when a retry finds no other target", t, func() {
+		next(breakOff)
+		got := stock.call("shop/look", "")
+		So(got.outcome, ShouldEqual, "unknown")
+		So(got.status, ShouldEqual, http.StatusGatewayTimeout)
+	})
+	Convey("A target that breaks off half way gives no caller an answer that can be taken for whole", t, func() {
+		next(func(w http.ResponseWriter, r *http.Request) {
+			const half = 256 << 10 // bytes, more than is buffered on the way
+			w.Header().Set("Content-Length", strconv.Itoa(2*half))
+			_, _ = w.Write(make([]byte, half))
+			_ = http.NewResponseController(w).Flush()
+			breakOff(w, r)
+		})
+		url := "http://" + stock.agent.callAddress() + "/call/shop/look"
+		response, err := http.Post(url, "text/plain", strings.NewReader("body"))
+		So(err, ShouldBeNil)
+		defer response.Body.Close()
+		So(response.Header.Get(callhttp.HeaderOutcome), ShouldEqual, "completed")
+		_, err = io.ReadAll(response.Body)
+		So(err, ShouldNotBeNil)
+	})
+	Convey("A target that sheds makes the call not run", t, func() {
+		next(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(callhttp.HeaderOutcome, "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		got := stock.call("shop/look", "")
+		So(got.outcome, ShouldEqual, "not-run")
+	})
+	Convey("A call that was meant for an instance which had this address before is not run", t, func() {
+		runs := shop.runs.Load()
+		request, _ := http.NewRequest(http.MethodGet, "http://"+shop.agent.self.PeerAddress+"/deliver/shop/look", nil)
+		for name, value := range map[string]string{
+			callhttp.HeaderRequestID: "r1", callhttp.HeaderInstance: "an-earlier-process", callhttp.HeaderTimeout: "1000",
+			callhttp.HeaderClass: "1", callhttp.HeaderGrant: "1", callhttp.HeaderDepth: "0", callhttp.HeaderLamport: "1",
+		} {
+			request.Header.Set(name, value)
+		}
+		response, err := http.DefaultClient.Do(request)
+		So(err, ShouldBeNil)
+		response.Body.Close()
+		So(response.Header.Get(callhttp.HeaderOutcome), ShouldEqual, "not-run")
+		So(response.Header.Get(callhttp.HeaderUnspent), ShouldEqual, "1")
+		So(shop.runs.Load(), ShouldEqual, runs)
+	})
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	shop, stock, next := startShop(t)
+	Convey("A target that calls on and on is stopped at the bound of its request", t, func() {
+		before := stock.runs.Load()
+		next(func(w http.ResponseWriter, r *http.Request) {
+			for range 50 {
+				shop.call("stock/count", "", callhttp.HeaderParent, r.Header.Get(callhttp.HeaderParent))
+			}
+		})
+		So(stock.call("shop/look", "").outcome, ShouldEqual, "completed")
+		So(stock.runs.Load()-before, ShouldBeLessThanOrEqualTo, 5) // the bound of 6 less the shop's own run
+		So(stock.runs.Load()-before, ShouldBeGreaterThan, 0)
+	})
+	Convey("A child call after its parent's answer is not run", t, func() {
+		var token string
+		next(func(_ http.ResponseWriter, r *http.Request) { token = r.Header.Get(callhttp.HeaderParent) })
+		So(stock.call("shop/look", "").outcome, ShouldEqual, "completed")
+		got := shop.call("stock/count", "", callhttp.HeaderParent, token)
+		So(got.reason, ShouldEqual, "attempts")
+	})
+}
--- a/call/call.go
+++ b/call/call.go
@@ -19,11 +19,14 @@
 // rankBits is the width of a Rank inside a Priority.
 const rankBits = 24
 
+// RankCount is the number of different ranks.
+const RankCount = 1 << rankBits
+
 // Rank orders the requests of one class, 0 first. It is a hash of the request
 // id, so a request that one hop admits is likely to be admitted by the next.
 type Rank uint32
 
-// RankOf returns the rank of a request; it is uniform over [0, 1<<24).
+// RankOf returns the rank of a request; it is uniform over [0, RankCount).
 func RankOf(id RequestID) Rank {
 	return Rank(xxhash.Sum64String(string(id)) >> (64 - rankBits))
 }
@@ -34,14 +37,14 @@
 
 // PriorityOf combines a class and a rank.
 func PriorityOf(class Class, rank Rank) Priority {
-	return Priority(uint32(class)<<rankBits | uint32(rank)&(1<<rankBits-1))
+	return Priority(uint32(class)<<rankBits | uint32(rank)&(RankCount-1))
 }
 
 // Class returns the class inside the priority.
 func (p Priority) Class() Class { return Class(p >> rankBits) }
 
 // Rank returns the rank inside the priority.
-func (p Priority) Rank() Rank { return Rank(p & (1<<rankBits - 1)) }
+func (p Priority) Rank() Rank { return Rank(p & (RankCount - 1)) }
 
 // Level is the boundary of admission: a call is admitted while its priority is
 // below the level. Lower levels are stricter.
--- a/callhttp/headers.go
+++ b/callhttp/headers.go
@@ -28,15 +28,14 @@
 
 // Fields that only nodes exchange.
 const (
-	HeaderClass         = "Gypsum-Class"          // class as a number
-	HeaderGrant         = "Gypsum-Grant"          // attempts that the call may cause
-	HeaderDepth         = "Gypsum-Depth"          // 0 for a root call
-	HeaderLamport       = "Gypsum-Lamport"        // logical time of the sender
-	HeaderConfigVersion = "Gypsum-Config-Version" // configuration that the sender has in force
-	HeaderInstance      = "Gypsum-Instance"       // instance that the sender means to reach
-	HeaderUnspent       = "Gypsum-Unspent"        // attempts of the grant that were not caused
-	HeaderLevel         = "Gypsum-Level"          // strictest level below, for the call's caller
-	HeaderLoad          = "Gypsum-Load"           // running/limit/queued of the target
+	HeaderClass    = "Gypsum-Class"    // class as a number
+	HeaderGrant    = "Gypsum-Grant"    // attempts that the call may cause
+	HeaderDepth    = "Gypsum-Depth"    // 0 for a root call
+	HeaderLamport  = "Gypsum-Lamport"  // logical time of the sender
+	HeaderInstance = "Gypsum-Instance" // instance that the sender means to reach
+	HeaderUnspent  = "Gypsum-Unspent"  // attempts of the grant that were not caused
+	HeaderLevel    = "Gypsum-Level"    // strictest level below, for the call's caller
+	HeaderLoad     = "Gypsum-Load"     // running/limit/queued of the target
 )
 
 // MaxBodyBytes is the size of the largest request body that a node takes.
--- a/callhttp/peer.go
+++ b/callhttp/peer.go
@@ -14,10 +14,9 @@
 
 // Envelope is what one node tells another with a call.
 type Envelope struct {
-	Call          call.Call
-	Instance      fleet.InstanceID // instance that the sender means to reach
-	Lamport       uint64
-	ConfigVersion uint64
+	Call     call.Call
+	Instance fleet.InstanceID // instance that the sender means to reach
+	Lamport  uint64           // logical time of the sender
 }
 
 // WriteEnvelope writes the envelope's fields; service and operation travel in
@@ -32,7 +31,6 @@
 	header.Set(HeaderDepth, strconv.Itoa(c.Depth))
 	header.Set(HeaderInstance, string(e.Instance))
 	header.Set(HeaderLamport, strconv.FormatUint(e.Lamport, 10))
-	header.Set(HeaderConfigVersion, strconv.FormatUint(e.ConfigVersion, 10))
 	WriteTimeout(header, now, c.Deadline)
 }
 
@@ -44,9 +42,8 @@
 	}
 	reader := numberReader{header: header}
 	e := Envelope{
-		Instance:      fleet.InstanceID(header.Get(HeaderInstance)),
-		Lamport:       reader.read(HeaderLamport, 1<<63),
-		ConfigVersion: reader.read(HeaderConfigVersion, 1<<63),
+		Instance: fleet.InstanceID(header.Get(HeaderInstance)),
+		Lamport:  reader.read(HeaderLamport, 1<<63),
 		Call: call.Call{
 			Request:  fields.RequestID,
 			Caller:   fields.Caller,
