--- a/admission/config.go
+++ b/admission/config.go
@@ -12,6 +12,9 @@
 // TickInterval is the time between two calls of Queue.Tick.
 const TickInterval = 20 * time.Millisecond
 
+// classLead is the time by which a class goes before the next one in the queue.
+const classLead = 20 * time.Millisecond
+
 // CallerShare is the weight of one caller's fair share.
 type CallerShare struct {
 	Name  string
--- a/admission/control.go
+++ b/admission/control.go
@@ -16,6 +16,10 @@
 	speedMemory  = 200 * time.Millisecond
 	queueSpread  = 1.5 // standard deviations of arrivals that the queue evens out
 	minQueueGoal = 2   // calls
+	idlePart     = 0.9 // part of the slots in use below which slots are idle
+	idleTicks    = 2   // ticks with idle slots after which more is admitted
+	idleGrowth   = 1.3 // factor on what is admitted, for each further tick
+	idleMost     = 20  // ticks for which it grows
 )
 
 // control derives the levels of a queue's callers.
@@ -25,18 +29,26 @@
 	fitting int       // ticks in a row in which all demand fitted
 	speed   rate      // completions per second of a busy slot
 	goal    float64   // length of the queue that is aimed at
+	idle    int       // ticks in a row in which slots were idle
 }
 
 // capacity returns completions per second with all slots busy, 0 if unknown.
 func (c *control) capacity(limit int) float64 { return c.speed.value() * float64(limit) }
 
-// observe adds the completions and the busy time since the last tick.
+// observe adds the completions and the busy time since the last tick. A target
+// that has become faster is believed at once; one that completes little for a
+// moment may only have paused.
 func (c *control) observe(elapsed time.Duration, completed int, busySeconds float64) {
+	events := float64(completed)
+	if events > c.speed.value()*busySeconds && c.speed.jumped(events, busySeconds) {
+		c.speed.restart(events, busySeconds)
+		return
+	}
 	memory := speedMemory.Seconds()
 	if speed := c.speed.value(); speed > 0 {
 		memory = min(max(memory, 4/speed), 2)
 	}
-	c.speed.add(float64(completed), busySeconds, math.Exp(-elapsed.Seconds()/memory))
+	c.speed.add(events, busySeconds, math.Exp(-elapsed.Seconds()/memory))
 }
 
 // aim sets the length of the queue that keeps the slots busy.
@@ -46,6 +58,27 @@
 	c.goal = max(capacity*cfg.TargetDelay.Seconds(), spread, minQueueGoal)
 }
 
+// observeIdle takes note of whether slots were idle since the last tick. When
+// they are, the level is too strict, whatever the estimates say.
+func (c *control) observeIdle(elapsed time.Duration, busySeconds float64, limit, queued int) {
+	inUse := busySeconds / elapsed.Seconds()
+	if queued > 0 || inUse >= idlePart*float64(limit) {
+		c.idle = 0
+		return
+	}
+	c.idle++
+}
+
+// room returns the calls per second that the level should admit.
+func (c *control) room(cfg *Config, capacity float64, queued int) float64 {
+	room := capacity + (c.goal-float64(queued))/cfg.Horizon.Seconds()
+	room = max(room, minRoomPart*capacity)
+	if c.idle >= idleTicks {
+		room *= math.Pow(idleGrowth, float64(min(c.idle-idleTicks+1, idleMost)))
+	}
+	return room
+}
+
 // levels moves the level of each caller. Pressed tells that calls were refused
 // for room since the last tick.
 func (c *control) levels(now time.Time, cfg *Config, list []*caller, limit, queued int, pressed bool) {
@@ -60,8 +93,7 @@
 		c.active = true
 		c.since = now
 	}
-	room := capacity + (c.goal-float64(queued))/cfg.Horizon.Seconds()
-	fits := fill(list, max(room, minRoomPart*capacity))
+	fits := fill(list, c.room(cfg, capacity, queued))
 	c.settle(list, fits && !pressed && float64(queued) <= c.goal)
 	for _, caller := range list {
 		caller.level = caller.levelOf()
--- a/admission/flows.go
+++ b/admission/flows.go
@@ -96,13 +96,16 @@
 	return &c.flows[min(int(p.Class()), call.MaxClasses-1)]
 }
 
-// order returns the call's place in the queue. The rank is stretched by the
-// part of the caller's demand that the level admits: so calls of a caller that
-// asks for more than its share stand behind those of one that doesn't.
-func (c *caller) order(p call.Priority) uint64 {
+// classShift is the place of the class in the orders of waiting calls.
+const classShift = 56
+
+// refusalOrder returns the call's place among those to refuse; the highest goes
+// first. The rank is stretched by the part of the caller's demand that the level
+// admits, so a caller that asks for more than its share is refused first.
+func (c *caller) refusalOrder(p call.Priority) uint64 {
 	admitted := max(c.flow(p).admitted, 1.0/64)
 	stretched := uint64(float64(p.Rank()) / admitted)
-	return uint64(p.Class())<<40 | stretched
+	return uint64(p.Class())<<classShift | stretched
 }
 
 // admit sets the fraction of the ranks that the level admits.
--- a/admission/lane.go
+++ b/admission/lane.go
@@ -1,14 +1,14 @@
 package admission
 
-// Sides of a lane: one heap has the most important call on top, the other the
-// least important one.
+// Sides of a lane: one heap has the call to start next on top, the other the one
+// to refuse next.
 const (
 	sideBest  = 0
 	sideWorst = 1
 )
 
-// lane holds queued tickets in order of their keys. Both ends are at hand, and
-// every change costs the logarithm of the length.
+// lane holds waiting tickets in two orders. The next ticket of each is at hand,
+// and every change costs the logarithm of the length.
 type lane struct {
 	heaps [2][]int32 // indexes of tickets
 }
@@ -47,13 +47,17 @@
 // before reports whether a comes before b on a side. Equal keys keep the order
 // of their ids.
 func before(tickets []ticket, side int, a, b int32) bool {
+	x, y := &tickets[a], &tickets[b]
 	if side == sideWorst {
-		a, b = b, a
+		if x.refuse != y.refuse {
+			return x.refuse > y.refuse
+		}
+		return x.id > y.id
 	}
-	if tickets[a].key != tickets[b].key {
-		return tickets[a].key < tickets[b].key
+	if x.start != y.start {
+		return x.start < y.start
 	}
-	return tickets[a].id < tickets[b].id
+	return x.id < y.id
 }
 
 func (l *lane) up(tickets []ticket, side, at int) {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -29,6 +29,7 @@
 	longRunning int
 	draining    bool
 
+	created   time.Time
 	lastTick  time.Time
 	lastBusy  time.Time
 	busy      float64 // seconds of running calls since the last tick
@@ -46,6 +47,7 @@
 		callers:    newCallers(cfg.Callers),
 		operations: newOperations(),
 		index:      make(map[TicketID]int32),
+		created:    now,
 		lastTick:   now,
 		lastBusy:   now,
 	}
@@ -70,7 +72,8 @@
 		return q.refuse(now, id, a.Priority, call.ReasonDeadline, out)
 	}
 	index := q.take(ticket{
-		id: id, key: caller.order(a.Priority), priority: a.Priority,
+		id: id, priority: a.Priority,
+		start: q.startOrder(now, a.Priority), refuse: caller.refusalOrder(a.Priority),
 		operation: operation, state: ticketQueued,
 		long:   q.operations.long(operation, q.cfg.LongFactor),
 		expiry: expiry, deadline: byDeadline,
@@ -80,6 +83,13 @@
 	return q.displace(now, out)
 }
 
+// startOrder returns the call's place among the waiting calls: its time of
+// arrival, put back by its class. So important calls go first, but no call that
+// the level admits is passed over for long.
+func (q *Queue) startOrder(now time.Time, p call.Priority) int64 {
+	return int64(now.Sub(q.created)) + int64(p.Class())*int64(classLead)
+}
+
 // latestStart returns when the call must have been started, and whether its
 // deadline is the cause.
 func (q *Queue) latestStart(now, deadline time.Time, operation int32) (time.Time, bool) {
@@ -163,6 +173,7 @@
 	q.operations.fade(now)
 	q.limit.tick(now, elapsed, q.completed, q.busy)
 	q.control.observe(elapsed, q.completed, q.busy)
+	q.control.observeIdle(elapsed, q.busy, q.limit.limit(), q.queued())
 	q.control.aim(&q.cfg, q.limit.limit())
 	for _, caller := range q.callers.list {
 		for class := range caller.flows {
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -61,7 +61,8 @@
 // ticket is one live call.
 type ticket struct {
 	id        TicketID
-	key       uint64 // order in the queue, the most important call lowest
+	start     int64  // order in which waiting calls are started, lowest first
+	refuse    uint64 // order in which they are refused, highest first
 	priority  call.Priority
 	operation int32
 	position  [2]int32 // index in the lane's two heaps
