--- a/admission/config.go
+++ b/admission/config.go
@@ -13,7 +13,7 @@
 const TickInterval = 20 * time.Millisecond
 
 // classLead is the time by which a class goes before the next one in the queue.
-const classLead = 20 * time.Millisecond
+const classLead = 50 * time.Millisecond
 
 // CallerShare is the weight of one caller's fair share.
 type CallerShare struct {
@@ -27,7 +27,7 @@
 	Callers []CallerShare // callers that aren't listed have a share of 1
 
 	TargetDelay time.Duration // delay that the level control leaves in the queue under overload
-	MaxWait     time.Duration // longest time that a call waits in the queue
+	MaxWait     time.Duration // longest time that a call waits in the queue, unless it runs for long
 	Horizon     time.Duration // time in which the level control corrects the queue's length
 	LongFactor  float64       // an operation is long from this multiple of the usual service time
 	KeptPercent int           // part of the slots that long calls can't take
--- a/admission/control.go
+++ b/admission/control.go
@@ -22,6 +22,21 @@
 	idleMost     = 20  // ticks for which it grows
 )
 
+// classCounts holds a number of calls for each class.
+type classCounts [call.MaxClasses]int
+
+// total returns the calls of all classes.
+func (c *classCounts) total() int {
+	sum := 0
+	for _, count := range c {
+		sum += count
+	}
+	return sum
+}
+
+// classRates holds calls per second for each class.
+type classRates [call.MaxClasses]float64
+
 // control derives the levels of a queue's callers.
 type control struct {
 	active  bool      // the target has more demand than it can bear
@@ -36,19 +51,23 @@
 func (c *control) capacity(limit int) float64 { return c.speed.value() * float64(limit) }
 
 // observe adds the completions and the busy time since the last tick. A target
-// that has become faster is believed at once; one that completes little for a
-// moment may only have paused.
+// that has become faster is believed at once. One that completes less than
+// chance explains may only have paused: then the past fades quickly.
 func (c *control) observe(elapsed time.Duration, completed int, busySeconds float64) {
 	events := float64(completed)
-	if events > c.speed.value()*busySeconds && c.speed.jumped(events, busySeconds) {
-		c.speed.restart(events, busySeconds)
-		return
-	}
 	memory := speedMemory.Seconds()
 	if speed := c.speed.value(); speed > 0 {
 		memory = min(max(memory, 4/speed), 2)
 	}
-	c.speed.add(events, busySeconds, math.Exp(-elapsed.Seconds()/memory))
+	keep := math.Exp(-elapsed.Seconds() / memory)
+	if c.speed.jumped(events, busySeconds) {
+		if events > c.speed.value()*busySeconds {
+			c.speed.restart(events, busySeconds)
+			return
+		}
+		keep = jumpKeep
+	}
+	c.speed.add(events, busySeconds, keep)
 }
 
 // aim sets the length of the queue that keeps the slots busy.
@@ -69,19 +88,32 @@
 	c.idle++
 }
 
-// room returns the calls per second that the level should admit.
-func (c *control) room(cfg *Config, capacity float64, queued int) float64 {
-	room := capacity + (c.goal-float64(queued))/cfg.Horizon.Seconds()
-	room = max(room, minRoomPart*capacity)
-	if c.idle >= idleTicks {
-		room *= math.Pow(idleGrowth, float64(min(c.idle-idleTicks+1, idleMost)))
+// rooms returns, for each class, the calls per second of it and of the more
+// important classes that the level should admit. Only calls that are not less
+// important count as waiting: the others are refused if they are in the way.
+func (c *control) rooms(cfg *Config, capacity float64, waiting *classCounts) classRates {
+	var rooms classRates
+	ahead := 0
+	for class, count := range waiting {
+		ahead += count
+		room := capacity + (c.goal-float64(ahead))/cfg.Horizon.Seconds()
+		rooms[class] = max(room, minRoomPart*capacity) * c.boost()
+	}
+	return rooms
+}
+
+// boost returns the factor on what is admitted while slots are idle.
+func (c *control) boost() float64 {
+	if c.idle < idleTicks {
+		return 1
 	}
-	return room
+	return math.Pow(idleGrowth, float64(min(c.idle-idleTicks+1, idleMost)))
 }
 
 // levels moves the level of each caller. Pressed tells that calls were refused
 // for room since the last tick.
-func (c *control) levels(now time.Time, cfg *Config, list []*caller, limit, queued int, pressed bool) {
+func (c *control) levels(now time.Time, cfg *Config, list []*caller, limit int, waiting *classCounts, pressed bool) {
+	queued := waiting.total()
 	capacity := c.capacity(limit)
 	if capacity == 0 {
 		return
@@ -93,7 +125,7 @@
 		c.active = true
 		c.since = now
 	}
-	fits := fill(list, c.room(cfg, capacity, queued))
+	fits := fill(list, c.rooms(cfg, capacity, waiting))
 	c.settle(list, fits && !pressed && float64(queued) <= c.goal)
 	for _, caller := range list {
 		caller.level = caller.levelOf()
@@ -113,19 +145,21 @@
 	}
 }
 
-// fill divides the room, in calls per second, over classes in order of
+// fill divides the rooms, in calls per second, over classes in order of
 // importance and over callers by max-min fairness. It reports whether every
 // flow is admitted whole.
-func fill(list []*caller, room float64) bool {
+func fill(list []*caller, rooms classRates) bool {
 	open := true
+	admitted := 0.0
 	for class := range call.MaxClasses {
 		if !open {
 			closeClass(list, class)
 			continue
 		}
 		demand := demandOf(list, class)
+		room := max(rooms[class]-admitted, 0)
 		if demand <= room {
-			room -= demand
+			admitted += demand
 			open = raise(list, class, math.Inf(1))
 			continue
 		}
--- a/admission/flows.go
+++ b/admission/flows.go
@@ -93,9 +93,12 @@
 }
 
 func (c *caller) flow(p call.Priority) *flow {
-	return &c.flows[min(int(p.Class()), call.MaxClasses-1)]
+	return &c.flows[classOf(p)]
 }
 
+// classOf returns the class of a priority as an index of a table.
+func classOf(p call.Priority) int { return min(int(p.Class()), call.MaxClasses-1) }
+
 // classShift is the place of the class in the orders of waiting calls.
 const classShift = 56
 
@@ -123,7 +126,7 @@
 		return
 	}
 	if f.demand.jumped(events, exposure) {
-		f.demand.restart(events, exposure)
+		f.demand.add(events, exposure, jumpKeep)
 		return
 	}
 	perSecond := f.demand.value() * exposure / seconds
--- a/admission/loop_test.go
+++ b/admission/loop_test.go
@@ -100,6 +100,7 @@
 	narrow    time.Duration
 	first     bool
 	asked     time.Time
+	reason    call.Reason
 	again     int
 	onDeath   []func()
 }
@@ -284,6 +285,7 @@
 		return
 	}
 	r.dead = true
+	trace(r, "late")
 	if w.measured() {
 		w.out.late++
 	}
@@ -300,10 +302,13 @@
 	}
 }
 
+var trace = func(*request, string) {}
+
 func (w *world) refused(r *request, entry bool) {
 	if r.dead {
 		return
 	}
+	trace(r, fmt.Sprint("refused entry=", entry, r.reason))
 	r.dead = true
 	if w.measured() {
 		if entry {
@@ -320,6 +325,7 @@
 	if r.dead {
 		return
 	}
+	trace(r, "done")
 	r.dead = true
 	w.out.seconds[w.bucket(w.now)]++
 	if !w.measured() {
@@ -350,6 +356,9 @@
 	childLevel := call.AdmitAll
 	v := &visit{request: r}
 	v.end = func(o call.Outcome, reason call.Reason) {
+		if o != call.Completed && r.p.Class() == 0 {
+			trace(r, fmt.Sprint("at front", reason))
+		}
 		level := front.queue.Level(r.caller).Stricter(childLevel)
 		s := front.queue.Stats()
 		w.after(hop, func() {
@@ -360,6 +369,7 @@
 				if o == call.Completed {
 					w.done(r)
 				} else {
+					r.reason = reason
 					w.refused(r, false)
 				}
 			})
--- a/admission/operations.go
+++ b/admission/operations.go
@@ -8,6 +8,7 @@
 // Parameters of the learned service times, times in seconds.
 const (
 	serviceGain       = 1.0 / 16 // weight of a new sample
+	waitFactor        = 2.0      // service times that a call may wait
 	serviceFadeAfter  = 250 * time.Millisecond
 	serviceFadeFactor = 0.9 // per tick without a sample
 )
@@ -39,6 +40,11 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// usualWait returns how long a call that runs for long itself may wait as well.
+func (o *operation) usualWait() time.Duration {
+	return time.Duration(waitFactor * o.mean * float64(time.Second))
+}
+
 // fade lowers an estimate that no call has confirmed for a while. Otherwise an
 // estimate above every deadline would refuse all calls that could correct it.
 func (o *operation) fade(now time.Time) {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -25,6 +25,7 @@
 	index   map[TicketID]int32
 	lanes   [2]lane
 
+	waiting     classCounts // by class
 	running     int
 	longRunning int
 	draining    bool
@@ -78,7 +79,7 @@
 		long:   q.operations.long(operation, q.cfg.LongFactor),
 		expiry: expiry, deadline: byDeadline,
 	})
-	q.laneOf(index).push(q.tickets, index)
+	q.enqueue(index)
 	out = q.startReady(now, out)
 	return q.displace(now, out)
 }
@@ -93,11 +94,12 @@
 // latestStart returns when the call must have been started, and whether its
 // deadline is the cause.
 func (q *Queue) latestStart(now, deadline time.Time, operation int32) (time.Time, bool) {
-	latest := now.Add(q.cfg.MaxWait)
+	learned := &q.operations.list[operation]
+	latest := now.Add(max(q.cfg.MaxWait, learned.usualWait()))
 	if deadline.IsZero() {
 		return latest, false
 	}
-	needed := q.operations.list[operation].least()
+	needed := learned.least()
 	if met := deadline.Add(-needed); met.Before(latest) {
 		return met, true
 	}
@@ -154,7 +156,7 @@
 		return out
 	}
 	q.stats.Cancelled++
-	q.laneOf(index).remove(q.tickets, index)
+	q.dequeue(index)
 	q.release(index)
 	return out
 }
@@ -180,7 +182,7 @@
 			caller.flows[class].tick(elapsed.Seconds())
 		}
 	}
-	q.control.levels(now, &q.cfg, q.callers.list, q.limit.limit(), q.queued(), q.pressed)
+	q.control.levels(now, &q.cfg, q.callers.list, q.limit.limit(), &q.waiting, q.pressed)
 	q.completed = 0
 	q.busy = 0
 	q.pressed = false
@@ -225,10 +227,21 @@
 	return &q.lanes[laneShort]
 }
 
+// enqueue and dequeue keep the lanes and the counts of waiting calls in step.
+func (q *Queue) enqueue(index int32) {
+	q.laneOf(index).push(q.tickets, index)
+	q.waiting[classOf(q.tickets[index].priority)]++
+}
+
+func (q *Queue) dequeue(index int32) {
+	q.laneOf(index).remove(q.tickets, index)
+	q.waiting[classOf(q.tickets[index].priority)]--
+}
+
 // capacity returns how many calls may wait: several times the queue that the
 // level control aims at, so that it has time to act.
 func (q *Queue) capacity() int {
-	wanted := max(4*q.control.goal, float64(2*q.limit.limit()), 8)
+	wanted := max(3*q.control.goal, float64(q.limit.limit()), 8)
 	return min(int(wanted), MaxQueued)
 }
 
@@ -283,7 +296,7 @@
 
 func (q *Queue) start(now time.Time, index int32, out []Verdict) []Verdict {
 	t := &q.tickets[index]
-	q.laneOf(index).remove(q.tickets, index)
+	q.dequeue(index)
 	q.addBusy(now)
 	t.state = ticketRunning
 	t.started = now
@@ -359,7 +372,7 @@
 // drop refuses a waiting call.
 func (q *Queue) drop(now time.Time, index int32, reason call.Reason, out []Verdict) []Verdict {
 	t := q.tickets[index]
-	q.laneOf(index).remove(q.tickets, index)
+	q.dequeue(index)
 	q.release(index)
 	if reason == call.ReasonOverload {
 		q.pressed = true
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -29,9 +29,11 @@
 	r.exposure = r.exposure*keep + exposure
 }
 
-// jumpDeviations is the number of standard deviations of a Poisson count from
-// which a change is taken for a jump.
-const jumpDeviations = 4
+// Parameters of jumps.
+const (
+	jumpDeviations = 4   // standard deviations of a Poisson count from which a change is a jump
+	jumpKeep       = 0.3 // part of the past that is kept after a jump
+)
 
 // jumped reports whether the events differ from the estimate by more than
 // chance explains.
--- a/routing/service.go
+++ b/routing/service.go
@@ -60,7 +60,9 @@
 	overload   time.Time
 	hedges     float64 // hedges that may be sent
 	inFlight   int
-	slots      int // of all its targets
+	begun      uint64 // calls sent so far
+	slow       int    // targets that are set aside as slow
+	slots      int    // of all its targets
 }
 
 func newService(name string) *service {
--- a/routing/table.go
+++ b/routing/table.go
@@ -75,6 +75,7 @@
 	}
 	s.inFlight = 0
 	s.slots = 0
+	s.slow = 0
 	for _, instance := range chosen {
 		known, ok := old[instance.ID]
 		if !ok {
@@ -88,6 +89,9 @@
 		tier := t.tierOf(instance)
 		s.tiers[tier] = append(s.tiers[tier], known)
 		s.inFlight += known.inFlight
+		if known.slow {
+			s.slow++
+		}
 		s.slots += s.slotsOf(instance)
 	}
 	s.known = s.known || len(chosen) > 0
@@ -222,6 +226,22 @@
 			return best
 		}
 	}
+	if s.slow > 0 && best != nil {
+		return t.orSlow(now, s, best, exclude)
+	}
+	return best
+}
+
+// orSlow returns a slow instance if even that promises an earlier answer than
+// the best of the others, all of which are full.
+func (t *Table) orSlow(now time.Time, s *service, best *target, exclude []fleet.InstanceID) *target {
+	for tier := range s.tiers {
+		for _, known := range s.tiers[tier] {
+			if known.slow && known.usable(now, exclude) && known.cost(now) < best.cost(now) {
+				return known
+			}
+		}
+	}
 	return best
 }
 
@@ -268,14 +288,12 @@
 }
 
 // chooseAny is for the case that all instances are set aside: it returns the
-// best of those that are slow, and of the unreachable ones the first to be tried
-// again. Draining instances are never returned.
+// best of those that are only slow.
 func (t *Table) chooseAny(now time.Time, s *service, exclude []fleet.InstanceID) *target {
 	var best *target
 	for tier := range s.tiers {
 		for _, known := range s.tiers[tier] {
-			draining := !known.draining.IsZero() && now.Sub(known.draining) < drainingHolds
-			if draining || known.failures > 0 || slices.Contains(exclude, known.instance.ID) {
+			if !known.usable(now, exclude) {
 				continue
 			}
 			if best == nil || known.cost(now) < best.cost(now) {
@@ -294,6 +312,7 @@
 	}
 	known.begin(now)
 	known.service.inFlight++
+	known.service.begun++
 	known.service.hedges = min(hedgeBurst, known.service.hedges+hedgePart)
 }
 
--- a/routing/target.go
+++ b/routing/target.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gypsumford/gypsumford/call"
@@ -15,9 +16,10 @@
 	slowUntil     = 1.4                    // slowness below which it is back
 	probeGain     = 0.5                    // weight of the answer to a probe
 	slownessFloor = 1.5                    // slowness that makes no difference
-	slowProbeMin  = 250 * time.Millisecond // time between two probes of a slow instance
-	slowProbeMax  = 4 * time.Second
-	stallRatio    = 3.0 // usual latencies without an answer that count as slow
+	slowProbeMin  = 250 * time.Millisecond // least time between two probes of a slow instance
+	slowProbeMax  = 4 * time.Second        // most time between them
+	slowProbeCall = 400                    // calls to the service between them, unless the most time has passed
+	stallRatio    = 3.0                    // usual latencies without an answer that count as slow
 	ejectMin      = 100 * time.Millisecond
 	ejectMax      = 5 * time.Second
 	feedbackHolds = 500 * time.Millisecond // age up to which an answer's load counts
@@ -34,8 +36,8 @@
 
 	slowness  float64 // latency against the usual one, smoothed
 	slow      bool
-	probeAt   time.Time // earliest next probe while slow
-	probeWait time.Duration
+	probed    time.Time // last probe while slow
+	probeFrom uint64    // calls to the service from which the next probe may be sent
 
 	failures  int // failed connections in a row
 	ejected   time.Time
@@ -47,20 +49,39 @@
 	sentBefore int // own calls in flight when the feedback came
 }
 
+// drains reports whether the instance lately said that it leaves.
+func (t *target) drains(now time.Time) bool {
+	return !t.draining.IsZero() && now.Sub(t.draining) < drainingHolds
+}
+
+// usable reports whether the instance can take a call, even if slowly.
+func (t *target) usable(now time.Time, exclude []fleet.InstanceID) bool {
+	return t.failures == 0 && !t.drains(now) && !slices.Contains(exclude, t.instance.ID)
+}
+
 // available reports whether the instance may be drawn.
 func (t *target) available(now time.Time) bool {
-	if !t.draining.IsZero() && now.Sub(t.draining) < drainingHolds {
+	if t.drains(now) {
 		return false
 	}
 	if t.failures > 0 {
 		return !now.Before(t.ejected) && t.inFlight == 0
 	}
 	if t.slow {
-		return !now.Before(t.probeAt) && t.inFlight == 0
+		return t.inFlight == 0 && t.probeDue(now)
 	}
 	return true
 }
 
+// probeDue reports whether a slow instance may get a call to see if it is back.
+func (t *target) probeDue(now time.Time) bool {
+	passed := now.Sub(t.probed)
+	if passed < slowProbeMin {
+		return false
+	}
+	return t.service.begun >= t.probeFrom || passed >= slowProbeMax
+}
+
 // slots returns the calls that the instance runs at once, at least 1.
 func (t *target) slots(now time.Time) float64 {
 	slots := t.instance.Slots
@@ -132,11 +153,16 @@
 	}
 	t.inFlight++
 	if t.slow {
-		t.probeWait = min(max(2*t.probeWait, slowProbeMin), slowProbeMax)
-		t.probeAt = now.Add(t.probeWait)
+		t.nextProbe(now, slowProbeCall)
 	}
 }
 
+// nextProbe puts the next probe of a slow instance off.
+func (t *target) nextProbe(now time.Time, calls uint64) {
+	t.probed = now
+	t.probeFrom = t.service.begun + calls
+}
+
 // end takes what came of a call.
 func (t *target) end(now time.Time, s Sample, ratio float64) {
 	t.inFlight = max(t.inFlight-1, 0)
@@ -164,10 +190,13 @@
 	switch {
 	case !t.slow && t.slowness >= slowFrom:
 		t.slow = true
-		t.probeWait = slowProbeMin
-		t.probeAt = now.Add(t.probeWait)
+		t.service.slow++
+		t.nextProbe(now, slowProbeCall)
 	case t.slow && t.slowness <= slowUntil:
 		t.slow = false
+		t.service.slow--
+	case t.slow && ratio < slowUntil:
+		t.probeFrom = 0 // it seems to be back, so it is soon probed again
 	}
 }
 
