--- a/admission/loop_test.go
+++ b/admission/loop_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
+
 	"github.com/gypsumford/gypsumford/admission"
 	"github.com/gypsumford/gypsumford/call"
 	"github.com/gypsumford/gypsumford/fleet"
@@ -37,14 +39,14 @@
 func (e *events) Pop() any     { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
 
 type plan struct {
-	rate    func(at time.Duration) float64   // root calls per second
-	slowed  func(at time.Duration) float64   // factor on the narrow service time
-	callers func(r *rand.Rand) string        // who sends
-	long    func(r *rand.Rand) (string, int) // operation and factor on its service time
-	again   int                              // times that a client asks again, 50 ms later
-	span    time.Duration
-	from    time.Duration // start of the measured part
-	plain   bool          // without the layer: first come first served, no levels
+	rate     func(at time.Duration) float64 // root calls per second
+	slowed   func(at time.Duration) float64 // factor on the narrow service time
+	callers  func(r *rand.Rand) string      // who sends
+	again    int                            // times that a client asks again, 50 ms later
+	span     time.Duration
+	from     time.Duration // start of the measured part
+	oneClass bool
+	plain    bool // without the layer: first come first served, no levels
 }
 
 const (
@@ -61,13 +63,12 @@
 )
 
 type outcome struct {
-	offered, good, refusedEntry, refusedDeep, late int
-	firstOrders, goodFirstOrders                   int
-	narrowGood, spent, wasted                      time.Duration
-	byCaller                                       map[string]int
-	short                                          []time.Duration
-	seconds                                        map[int]int // whole requests by 100 ms
-	offers                                         map[int]int
+	good, refusedEntry, refusedDeep, late int
+	firstOrders, goodFirstOrders          int
+	narrowGood, spent, wasted             time.Duration
+	byCaller, firstBy                     map[string]int
+	whole                                 map[int]int // whole requests by 100 ms
+	offers                                map[int]int
 }
 
 type target struct {
@@ -93,14 +94,11 @@
 	p         call.Priority
 	caller    string
 	operation string
-	factor    int
 	deadline  time.Time
 	dead      bool
 	spent     time.Duration
 	narrow    time.Duration
 	first     bool
-	asked     time.Time
-	reason    call.Reason
 	again     int
 	onDeath   []func()
 }
@@ -134,7 +132,8 @@
 	begin := time.Unix(1_000_000, 0)
 	w := &world{now: begin, begin: begin, r: rand.New(rand.NewPCG(seed, 1)), plan: p}
 	w.out.byCaller = map[string]int{}
-	w.out.seconds = map[int]int{}
+	w.out.firstBy = map[string]int{}
+	w.out.whole = map[int]int{}
 	w.out.offers = map[int]int{}
 	var fronts, narrows []fleet.Instance
 	for i := range frontTargets {
@@ -246,19 +245,15 @@
 func (w *world) bucket(at time.Time) int { return int(at.Sub(w.begin) / (100 * time.Millisecond)) }
 
 // ask sends one root request through a random entry node.
-func (w *world) ask(again int, class call.Class) {
+func (w *world) ask(again int, class call.Class, caller string) {
 	r := &request{
-		p: call.PriorityOf(class, call.Rank(w.r.Uint32()>>8)), operation: "work", factor: 1, first: again == w.plan.again, again: again,
-		deadline: w.now.Add(patience), asked: w.now,
-	}
-	if w.plan.callers != nil {
-		r.caller = w.plan.callers(w.r)
-	}
-	if w.plan.long != nil {
-		r.operation, r.factor = w.plan.long(w.r)
+		p: call.PriorityOf(class, call.Rank(w.r.Uint32()>>8)), caller: caller, operation: "work", first: again == w.plan.again, again: again,
+		deadline: w.now.Add(patience),
 	}
 	if w.measured() {
-		w.out.offered++
+		if r.first {
+			w.out.firstBy[r.caller]++
+		}
 		if r.first && r.p.Class() == 0 {
 			w.out.firstOrders++
 		}
@@ -270,6 +265,9 @@
 
 // class draws the class of a root request: a tenth are orders.
 func (w *world) class() call.Class {
+	if w.plan.oneClass {
+		return 1
+	}
 	switch x := w.r.Float64(); {
 	case x < 0.1:
 		return 0
@@ -279,13 +277,19 @@
 	return 2
 }
 
+func (w *world) caller() string {
+	if w.plan.callers == nil {
+		return ""
+	}
+	return w.plan.callers(w.r)
+}
+
 // die is what happens when the client's patience ends.
 func (w *world) die(r *request) {
 	if r.dead {
 		return
 	}
 	r.dead = true
-	trace(r, "late")
 	if w.measured() {
 		w.out.late++
 	}
@@ -298,17 +302,14 @@
 
 func (w *world) retry(r *request) {
 	if r.again > 0 {
-		w.after(50*time.Millisecond, func() { w.ask(r.again-1, r.p.Class()) })
+		w.after(50*time.Millisecond, func() { w.ask(r.again-1, r.p.Class(), r.caller) })
 	}
 }
 
-var trace = func(*request, string) {}
-
 func (w *world) refused(r *request, entry bool) {
 	if r.dead {
 		return
 	}
-	trace(r, fmt.Sprint("refused entry=", entry, r.reason))
 	r.dead = true
 	if w.measured() {
 		if entry {
@@ -325,9 +326,8 @@
 	if r.dead {
 		return
 	}
-	trace(r, "done")
 	r.dead = true
-	w.out.seconds[w.bucket(w.now)]++
+	w.out.whole[w.bucket(w.now)]++
 	if !w.measured() {
 		return
 	}
@@ -338,9 +338,6 @@
 	if r.first && r.p.Class() == 0 {
 		w.out.goodFirstOrders++
 	}
-	if r.factor == 1 {
-		w.out.short = append(w.out.short, w.now.Sub(r.asked))
-	}
 }
 
 func (w *world) enter(r *request, e *entry) {
@@ -357,7 +354,6 @@
 	v := &visit{request: r}
 	v.end = func(o call.Outcome, reason call.Reason) {
 		if o != call.Completed && r.p.Class() == 0 {
-			trace(r, fmt.Sprint("at front", reason))
 		}
 		level := front.queue.Level(r.caller).Stricter(childLevel)
 		s := front.queue.Stats()
@@ -369,7 +365,6 @@
 				if o == call.Completed {
 					w.done(r)
 				} else {
-					r.reason = reason
 					w.refused(r, false)
 				}
 			})
@@ -418,7 +413,7 @@
 		}
 		work := time.Duration(w.r.ExpFloat64() * 0.5 * float64(narrowWork))
 		work += narrowWork / 2
-		w.after(time.Duration(float64(work)*slowed)*time.Duration(r.factor), func() { done(admission.Completed) })
+		w.after(time.Duration(float64(work)*slowed), func() { done(admission.Completed) })
 	}
 	w.after(hop, func() { narrow.arrive(v) })
 }
@@ -430,7 +425,7 @@
 func (w *world) run() outcome {
 	var arrive func()
 	arrive = func() {
-		w.ask(w.plan.again, w.class())
+		w.ask(w.plan.again, w.class(), w.caller())
 		w.after(w.gap(), arrive)
 	}
 	w.after(w.gap(), arrive)
@@ -452,71 +447,123 @@
 	return func(time.Duration) float64 { return rate }
 }
 
-func (o outcome) report(t *testing.T, name string, p plan) {
-	seconds := (p.span - p.from).Seconds()
-	slots := float64(narrowTargets * narrowSlots)
-	t.Logf("%s: goodput %.3f of the most (%.0f/s), utilisation %.3f, waste %.4f, orders %.4f (%d), refused entry %d deep %d, late %d",
-		name, float64(o.good)/seconds/narrowMost, float64(o.good)/seconds, o.narrowGood.Seconds()/(slots*seconds),
-		o.wasted.Seconds()/(o.spent+o.wasted).Seconds(),
-		float64(o.goodFirstOrders)/float64(max(o.firstOrders, 1)), o.firstOrders, o.refusedEntry, o.refusedDeep, o.late)
+// figures are what a run of the loop gives.
+type figures struct {
+	goodput     float64 // of the most that the narrow service can do
+	utilisation float64 // slot time of the narrow service that served whole requests
+	waste       float64 // part of all slot time
+	orders      float64 // first asks of the most important class that ended whole
 }
 
-func TestLoopTwice(t *testing.T) {
-	p := plan{rate: constant(2 * narrowMost), again: 3, span: 8 * time.Second, from: 2 * time.Second}
-	newWorld(p, 1).run().report(t, "2x", p)
-	p.plain = true
-	newWorld(p, 1).run().report(t, "2x without levels", p)
+func (o outcome) figures(p plan) figures {
+	seconds := (p.span - p.from).Seconds()
+	slots := float64(narrowTargets * narrowSlots)
+	return figures{
+		goodput:     float64(o.good) / seconds / narrowMost,
+		utilisation: o.narrowGood.Seconds() / (slots * seconds),
+		waste:       o.wasted.Seconds() / (o.spent + o.wasted).Seconds(),
+		orders:      float64(o.goodFirstOrders) / float64(max(o.firstOrders, 1)),
+	}
+}
+
+// log prints the figures; go test -v shows them.
+func (o outcome) log(t *testing.T, name string, p plan) figures {
+	f := o.figures(p)
+	t.Logf("%s: goodput %.3f, utilisation %.3f, wasted %.4f, orders %.4f, refused at the entry %d, deeper %d, late %d",
+		name, f.goodput, f.utilisation, f.waste, f.orders, o.refusedEntry, o.refusedDeep, o.late)
+	return f
+}
+
+// edge allows for requests that are in flight when the measured time ends.
+const edge = 0.005
+
+func TestLoopAtTwiceTheCapacity(t *testing.T) {
+	Convey("At twice the capacity, with clients asking again", t, func() {
+		p := plan{rate: constant(2 * narrowMost), again: 3, span: 4 * time.Second, from: time.Second}
+		f := newWorld(p, 1).run().log(t, "2x", p)
+		plain := p
+		plain.plain = true
+		without := newWorld(plain, 1).run().log(t, "2x without levels", plain)
+		Convey("the narrow service is kept busy with requests that complete", func() {
+			So(f.goodput, ShouldBeGreaterThanOrEqualTo, 0.95)
+			So(f.utilisation, ShouldBeGreaterThanOrEqualTo, 0.95)
+		})
+		Convey("next to nothing is wasted, which the queues alone don't achieve", func() {
+			So(f.waste, ShouldBeLessThanOrEqualTo, 0.02)
+			So(without.waste, ShouldBeGreaterThan, 0.02)
+		})
+		Convey("orders complete at first ask", func() {
+			So(f.orders, ShouldBeGreaterThanOrEqualTo, 0.999-edge)
+		})
+	})
 }
 
-func TestLoopCrest(t *testing.T) {
-	p := plan{again: 3, span: 7 * time.Second, from: 2 * time.Second}
-	p.rate = func(at time.Duration) float64 {
-		if at < 2*time.Second {
+func TestLoopAtTheCrest(t *testing.T) {
+	Convey("When demand rises to five times at once", t, func() {
+		p := plan{again: 3, span: 4 * time.Second, from: 2 * time.Second}
+		p.rate = func(at time.Duration) float64 {
+			if at < 2*time.Second {
+				return 0.8 * narrowMost
+			}
+			return 4 * narrowMost
+		}
+		f := newWorld(p, 2).run().log(t, "step by 5", p)
+		So(f.goodput, ShouldBeGreaterThanOrEqualTo, 0.95)
+	})
+}
+
+func TestLoopRecovers(t *testing.T) {
+	Convey("After three seconds of twice the demand on a service slowed by four", t, func() {
+		surge := func(at time.Duration) bool { return at > 2*time.Second && at < 5*time.Second }
+		p := plan{again: 3, span: 7 * time.Second, from: 2 * time.Second}
+		p.rate = func(at time.Duration) float64 {
+			if surge(at) {
+				return 1.6 * narrowMost
+			}
 			return 0.8 * narrowMost
 		}
-		return 4 * narrowMost
-	}
-	out := newWorld(p, 2).run()
-	out.report(t, "step by 5", p)
-	for b := 18; b < 40; b++ {
-		t.Logf("at %.1f s: %d whole of %d offered", float64(b)/10, out.seconds[b], out.offers[b])
-	}
-}
-
-func TestLoopRecovery(t *testing.T) {
-	p := plan{again: 3, span: 9 * time.Second, from: 2 * time.Second}
-	p.rate = func(at time.Duration) float64 {
-		if at > 2*time.Second && at < 5*time.Second {
-			return 1.6 * narrowMost
+		p.slowed = func(at time.Duration) float64 {
+			if surge(at) {
+				return 4
+			}
+			return 1
 		}
-		return 0.8 * narrowMost
-	}
-	p.slowed = func(at time.Duration) float64 {
-		if at > 2*time.Second && at < 5*time.Second {
-			return 4
+		out := newWorld(p, 3).run()
+		out.log(t, "slowed by 4 while demand doubles", p)
+		Convey("whole requests equal what is offered within a second", func() {
+			offered, whole := 0, 0
+			for bucket := 60; bucket < 70; bucket++ {
+				offered += out.offers[bucket]
+				whole += out.whole[bucket]
+			}
+			So(float64(whole)/float64(offered), ShouldBeGreaterThanOrEqualTo, 0.98)
+		})
+	})
+}
+
+func TestLoopSharesFairly(t *testing.T) {
+	Convey("Of four callers at a fifth of the capacity each, one sends ten times as much", t, func() {
+		share := narrowMost / 5
+		alone := plan{rate: constant(3 * share), span: 4 * time.Second, from: time.Second, oneClass: true}
+		alone.callers = func(r *rand.Rand) string { return [...]string{"a", "b", "c"}[r.IntN(3)] }
+		flooded := alone
+		flooded.rate = constant(13 * share)
+		flooded.again = 1
+		flooded.callers = func(r *rand.Rand) string {
+			if x := r.IntN(13); x < 3 {
+				return [...]string{"a", "b", "c"}[x]
+			}
+			return "d"
 		}
-		return 1
-	}
-	out := newWorld(p, 3).run()
-	out.report(t, "slowed by 4 while demand doubles", p)
-	for b := 48; b < 70; b++ {
-		t.Logf("at %.1f s: %d whole of %d offered", float64(b)/10, out.seconds[b], out.offers[b])
-	}
-}
-
-func TestLoopFairShare(t *testing.T) {
-	share := narrowMost * 0.8 / 4
-	alone := plan{rate: constant(3 * share), span: 8 * time.Second, from: 2 * time.Second}
-	alone.callers = func(r *rand.Rand) string { return [...]string{"a", "b", "c"}[r.IntN(3)] }
-	without := newWorld(alone, 4).run()
-	flooded := plan{rate: constant(13 * share), span: 8 * time.Second, from: 2 * time.Second, again: 3}
-	flooded.callers = func(r *rand.Rand) string {
-		if x := r.IntN(13); x < 3 {
-			return [...]string{"a", "b", "c"}[x]
+		before := newWorld(alone, 4).run()
+		with := newWorld(flooded, 4).run()
+		with.log(t, "one of four at ten times its share", flooded)
+		of := func(o outcome) float64 {
+			good := o.byCaller["a"] + o.byCaller["b"] + o.byCaller["c"]
+			first := o.firstBy["a"] + o.firstBy["b"] + o.firstBy["c"]
+			return float64(good) / float64(first)
 		}
-		return "d"
-	}
-	with := newWorld(flooded, 4).run()
-	with.report(t, "one of four at 10 times its share", flooded)
-	t.Logf("a %d/%d b %d/%d c %d/%d d %d", with.byCaller["a"], without.byCaller["a"], with.byCaller["b"], without.byCaller["b"], with.byCaller["c"], without.byCaller["c"], with.byCaller["d"])
+		t.Logf("whole requests of the others: %.4f alone, %.4f beside it; its own %d", of(before), of(with), with.byCaller["d"])
+		So(of(with)/of(before), ShouldBeGreaterThanOrEqualTo, 0.98)
+	})
 }
