--- a/routing/table.go
+++ b/routing/table.go
@@ -141,7 +141,7 @@
 		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.instance.ID, b.instance.ID))
 	})
 	if len(candidates) > t.cfg.MaxTargets {
-		candidates = t.pick(candidates)
+		candidates = t.bound(candidates)
 	}
 	chosen := make([]fleet.Instance, len(candidates))
 	for i, c := range candidates {
@@ -150,8 +150,8 @@
 	return chosen
 }
 
-// pick bounds sorted candidates to MaxTargets.
-func (t *Table) pick(candidates []candidate) []candidate {
+// bound reduces sorted candidates to MaxTargets.
+func (t *Table) bound(candidates []candidate) []candidate {
 	var counts [tierCount]int
 	for _, c := range candidates {
 		counts[c.tier]++
@@ -201,7 +201,7 @@
 	}
 	best := t.chooseAvailable(now, s, ask.Exclude)
 	if best == nil {
-		best = t.chooseAny(now, s, ask.Exclude)
+		best = chooseAny(now, s, ask.Exclude)
 	}
 	if best == nil {
 		return fleet.Instance{}, false
@@ -209,62 +209,64 @@
 	return best.instance, true
 }
 
+// pick is an instance that may be chosen, as it was judged.
+type pick struct {
+	target *target
+	view   view
+}
+
 // chooseAvailable goes through the tiers until one has room.
 func (t *Table) chooseAvailable(now time.Time, s *service, exclude []fleet.InstanceID) *target {
-	var best *target
-	var bestCost float64
+	var best pick
 	for tier := range s.tiers {
 		drawn := t.drawTwo(now, s.tiers[tier], exclude)
-		if drawn == nil {
+		if drawn.target == nil {
 			continue
 		}
-		cost := drawn.cost(now)
-		if best == nil || cost < bestCost {
-			best, bestCost = drawn, cost
+		if best.target == nil || drawn.view.cost() < best.view.cost() {
+			best = drawn
 		}
-		if drawn.hasRoom(now) {
-			return best
+		if drawn.view.hasRoom() {
+			return best.target
 		}
 	}
-	if s.slow > 0 && best != nil {
-		return t.orSlow(now, s, best, exclude)
+	if s.slow > 0 && best.target != nil {
+		return orSlow(now, s, best, exclude)
 	}
-	return best
+	return best.target
 }
 
 // orSlow returns a slow instance if even that promises an earlier answer than
 // the best of the others, all of which are full.
-func (t *Table) orSlow(now time.Time, s *service, best *target, exclude []fleet.InstanceID) *target {
+func orSlow(now time.Time, s *service, best pick, exclude []fleet.InstanceID) *target {
+	limit := best.view.cost()
 	for tier := range s.tiers {
 		for _, known := range s.tiers[tier] {
-			if known.slow && known.usable(now, exclude) && known.cost(now) < best.cost(now) {
+			if known.slow && known.usable(now, exclude) && known.view(now).cost() < limit {
 				return known
 			}
 		}
 	}
-	return best
+	return best.target
 }
 
-// drawTwo returns the better of two available instances drawn at random, or nil.
-func (t *Table) drawTwo(now time.Time, list []*target, exclude []fleet.InstanceID) *target {
+// drawTwo returns the better of two available instances drawn at random, if
+// there are any.
+func (t *Table) drawTwo(now time.Time, list []*target, exclude []fleet.InstanceID) pick {
 	first, at := t.draw(now, list, exclude, -1)
 	if first == nil {
-		return nil
+		return pick{}
 	}
+	a := pick{first, first.view(now)}
 	second, _ := t.draw(now, list, exclude, at)
-	if second == nil {
-		return first
-	}
-	if first.slow || first.failures > 0 {
-		return first // a probe is due
-	}
-	if second.slow || second.failures > 0 {
-		return second
+	if second == nil || first.probing() {
+		return a
 	}
-	if second.cost(now) < first.cost(now) {
-		return second
+	b := pick{second, second.view(now)}
+	if second.probing() || b.view.cost() < a.view.cost() {
+		return b
 	}
-	return first
+	return a
 }
 
 // draw returns an available instance from a random place on, other than the one
@@ -289,19 +291,20 @@
 
 // chooseAny is for the case that all instances are set aside: it returns the
 // best of those that are only slow.
-func (t *Table) chooseAny(now time.Time, s *service, exclude []fleet.InstanceID) *target {
-	var best *target
+func chooseAny(now time.Time, s *service, exclude []fleet.InstanceID) *target {
+	var best pick
 	for tier := range s.tiers {
 		for _, known := range s.tiers[tier] {
 			if !known.usable(now, exclude) {
 				continue
 			}
-			if best == nil || known.cost(now) < best.cost(now) {
-				best = known
+			seen := known.view(now)
+			if best.target == nil || seen.cost() < best.view.cost() {
+				best = pick{known, seen}
 			}
 		}
 	}
-	return best
+	return best.target
 }
 
 // Begin counts a call that is sent to an instance.
--- a/routing/target.go
+++ b/routing/target.go
@@ -73,6 +73,10 @@
 	return true
 }
 
+// probing reports whether a call to the instance is a probe. One that is drawn
+// while it is set aside is due to get one.
+func (t *target) probing() bool { return t.slow || t.failures > 0 }
+
 // probeDue reports whether a slow instance may get a call to see if it is back.
 func (t *target) probeDue(now time.Time) bool {
 	passed := now.Sub(t.probed)
@@ -82,26 +86,40 @@
 	return t.service.begun >= t.probeFrom || passed >= slowProbeMax
 }
 
-// slots returns the calls that the instance runs at once, at least 1.
-func (t *target) slots(now time.Time) float64 {
+// view is what an instance is judged by at one moment.
+type view struct {
+	load  float64 // calls that it is thought to hold
+	slots float64 // calls that it runs at once, at least 1
+	delay float64 // latency to expect against the usual one
+}
+
+// view judges the instance.
+func (t *target) view(now time.Time) view {
 	slots := t.instance.Slots
 	if slots == 0 {
 		slots = t.service.config.Slots
 	}
+	load := t.inFlight
 	if t.feedback.Limit > 0 && now.Sub(t.feedbackAt) < feedbackHolds {
 		slots = t.feedback.Limit
+		told := t.feedback.Running + t.feedback.Queued + t.inFlight - t.sentBefore
+		load = max(load, told)
+	}
+	return view{
+		load:  float64(load),
+		slots: max(float64(slots)*t.warmth(now), 1),
+		delay: t.delayRatio(now),
 	}
-	return max(float64(slots)*t.warmth(now), 1)
 }
 
-// load returns the calls that the instance is thought to hold.
-func (t *target) load(now time.Time) float64 {
-	own := t.inFlight
-	if t.feedback.Limit == 0 || now.Sub(t.feedbackAt) >= feedbackHolds {
-		return float64(own)
-	}
-	told := t.feedback.Running + t.feedback.Queued + own - t.sentBefore
-	return float64(max(own, told))
+// hasRoom reports whether a further call would find a free slot.
+func (v view) hasRoom() bool { return v.load+1 <= v.slots && v.delay <= slowFrom }
+
+// cost ranks instances; lower is better. It is the expected latency, with the
+// used part of the slots to tell equals apart.
+func (v view) cost() float64 {
+	used := (v.load + 1) / v.slots
+	return v.delay*max(1, used) + used
 }
 
 // warmth returns the share that a new instance may have, 1 for a warm one.
@@ -118,11 +136,6 @@
 	return max(part, rampFloor)
 }
 
-// hasRoom reports whether a further call would find a free slot.
-func (t *target) hasRoom(now time.Time) bool {
-	return t.load(now)+1 <= t.slots(now) && t.delayRatio(now) <= slowFrom
-}
-
 // delayRatio returns the latency to expect against the usual one.
 func (t *target) delayRatio(now time.Time) float64 {
 	ratio := t.slowness
@@ -139,13 +152,6 @@
 	return ratio
 }
 
-// cost ranks an instance; lower is better. It is the expected latency, with the
-// used part of the slots to tell equals apart.
-func (t *target) cost(now time.Time) float64 {
-	used := (t.load(now) + 1) / t.slots(now)
-	return t.delayRatio(now)*max(1, used) + used
-}
-
 // begin counts a call that is sent.
 func (t *target) begin(now time.Time) {
 	if t.inFlight == 0 {
