--- a/admission/queue.go
+++ b/admission/queue.go
@@ -79,11 +79,22 @@
 		long:   q.operations.long(operation, q.cfg.LongFactor),
 		expiry: expiry, deadline: byDeadline,
 	})
+	if q.startsAtOnce(index) {
+		return q.start(now, index, out)
+	}
 	q.enqueue(index)
 	out = q.startReady(now, out)
 	return q.displace(now, out)
 }
 
+// startsAtOnce reports whether a new call finds a free slot and nobody waiting.
+func (q *Queue) startsAtOnce(index int32) bool {
+	if q.queued() > 0 || q.running >= q.limit.limit() {
+		return false
+	}
+	return !q.tickets[index].long || q.longRunning < q.longLimit()
+}
+
 // startOrder returns the call's place among the waiting calls: its time of
 // arrival, put back by its class. So important calls go first, but no call that
 // the level admits is passed over for long.
@@ -264,6 +275,7 @@
 			out = q.drop(now, index, q.expiryReason(index), out)
 			continue
 		}
+		q.dequeue(index)
 		out = q.start(now, index, out)
 	}
 	return out
@@ -294,9 +306,9 @@
 	return max(1, limit-limit*q.cfg.KeptPercent/100)
 }
 
+// start hands a call that is in no lane to the target.
 func (q *Queue) start(now time.Time, index int32, out []Verdict) []Verdict {
 	t := &q.tickets[index]
-	q.dequeue(index)
 	q.addBusy(now)
 	t.state = ticketRunning
 	t.started = now
