--- a/admission/config.go
+++ b/admission/config.go
@@ -27,7 +27,7 @@
 	Callers []CallerShare // callers that aren't listed have a share of 1
 
 	TargetDelay time.Duration // delay that the level control leaves in the queue under overload
-	MaxWait     time.Duration // longest time that a call waits in the queue, unless it runs for long
+	MaxWait     time.Duration // longest wait of a call that the level doesn't admit, unless it runs for long
 	Horizon     time.Duration // time in which the level control corrects the queue's length
 	LongFactor  float64       // an operation is long from this multiple of the usual service time
 	KeptPercent int           // part of the slots that long calls can't take
@@ -38,7 +38,7 @@
 	return Config{
 		Slots:       slots,
 		TargetDelay: 20 * time.Millisecond,
-		MaxWait:     200 * time.Millisecond,
+		MaxWait:     150 * time.Millisecond,
 		Horizon:     200 * time.Millisecond,
 		LongFactor:  8,
 		KeptPercent: 40,
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -68,16 +68,18 @@
 		return q.refuse(now, id, a.Priority, call.ReasonDraining, out)
 	}
 	operation := q.operations.find(a.Operation)
-	expiry, byDeadline := q.latestStart(now, a.Deadline, operation)
-	if expiry.Before(now) {
+	learned := &q.operations.list[operation]
+	latest := latestStart(a.Deadline, learned)
+	if late(now, latest) {
 		return q.refuse(now, id, a.Priority, call.ReasonDeadline, out)
 	}
 	index := q.take(ticket{
-		id: id, priority: a.Priority,
+		id: id, priority: a.Priority, caller: caller,
 		start: q.startOrder(now, a.Priority), refuse: caller.refusalOrder(a.Priority),
 		operation: operation, state: ticketQueued,
-		long:   q.operations.long(operation, q.cfg.LongFactor),
-		expiry: expiry, deadline: byDeadline,
+		long:    q.operations.long(operation, q.cfg.LongFactor),
+		arrived: now, latest: latest,
+		patience: max(q.cfg.MaxWait, learned.usualWait()),
 	})
 	if q.startsAtOnce(index) {
 		return q.start(now, index, out)
@@ -102,21 +104,18 @@
 	return int64(now.Sub(q.created)) + int64(p.Class())*int64(classLead)
 }
 
-// latestStart returns when the call must have been started, and whether its
-// deadline is the cause.
-func (q *Queue) latestStart(now, deadline time.Time, operation int32) (time.Time, bool) {
-	learned := &q.operations.list[operation]
-	latest := now.Add(max(q.cfg.MaxWait, learned.usualWait()))
+// latestStart returns when a call must have been started to meet its deadline,
+// or the zero time if it has none.
+func latestStart(deadline time.Time, learned *operation) time.Time {
 	if deadline.IsZero() {
-		return latest, false
+		return deadline
 	}
-	needed := learned.least()
-	if met := deadline.Add(-needed); met.Before(latest) {
-		return met, true
-	}
-	return latest, false
+	return deadline.Add(-learned.least())
 }
 
+// late reports whether the latest start has passed.
+func late(now, latest time.Time) bool { return !latest.IsZero() && latest.Before(now) }
+
 // Finish takes note that a started call ended, and appends the verdicts on the
 // calls that its slot lets start.
 func (q *Queue) Finish(now time.Time, id TicketID, r Result, out []Verdict) []Verdict {
@@ -271,8 +270,8 @@
 		if !ok {
 			return out
 		}
-		if q.tickets[index].expiry.Before(now) {
-			out = q.drop(now, index, q.expiryReason(index), out)
+		if late(now, q.tickets[index].latest) {
+			out = q.drop(now, index, call.ReasonDeadline, out)
 			continue
 		}
 		q.dequeue(index)
@@ -345,27 +344,21 @@
 	return b
 }
 
-// expire refuses the waiting calls whose latest start has passed.
+// expire refuses the waiting calls that are late or have waited too long.
 func (q *Queue) expire(now time.Time, out []Verdict) []Verdict {
 	for lane := range q.lanes {
 		heap := q.lanes[lane].heaps[sideBest]
+		// A removal may move an unchecked call behind at; the next tick finds it.
 		for at := len(heap) - 1; at >= 0; at-- {
-			// A removal moves only tickets from behind at, which were checked.
-			if index := heap[at]; q.tickets[index].expiry.Before(now) {
-				out = q.drop(now, index, q.expiryReason(index), out)
+			index := heap[at]
+			if reason := q.tickets[index].lapsed(now); reason != call.NoReason {
+				out = q.drop(now, index, reason, out)
 			}
 		}
 	}
 	return out
 }
 
-func (q *Queue) expiryReason(index int32) call.Reason {
-	if q.tickets[index].deadline {
-		return call.ReasonDeadline
-	}
-	return call.ReasonOverload
-}
-
 // markLong counts running calls that have outrun the usual service time as long.
 func (q *Queue) markLong(now time.Time) {
 	bound := q.cfg.LongFactor * q.operations.usual
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -68,7 +68,28 @@
 	position  [2]int32 // index in the lane's two heaps
 	state     ticketState
 	long      bool
-	expiry    time.Time // latest start
-	deadline  bool      // expiry comes from the deadline, not from MaxWait
+	caller    *caller
+	arrived   time.Time
+	latest    time.Time     // latest start that meets the deadline, zero if there is none
+	patience  time.Duration // longest wait of a call that the level doesn't admit
 	started   time.Time
 }
+
+// admittedPatience is the multiple of its patience for which a call waits while
+// the level admits it.
+const admittedPatience = 5
+
+// lapsed returns why a waiting call is to be refused now, or NoReason.
+func (t *ticket) lapsed(now time.Time) call.Reason {
+	if late(now, t.latest) {
+		return call.ReasonDeadline
+	}
+	patience := t.patience
+	if t.caller.level.Admits(t.priority) {
+		patience *= admittedPatience
+	}
+	if now.Sub(t.arrived) > patience {
+		return call.ReasonOverload
+	}
+	return call.NoReason
+}
