--- /dev/null
+++ b/admission/levels_test.go
@@ -0,0 +1,59 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/admission"
+	"github.com/gypsumford/gypsumford/call"
+)
+
+func TestLevels(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	closed := call.Level(call.PriorityOf(1, 0))
+	browsing, order := call.PriorityOf(2, 7), call.PriorityOf(0, 7)
+	check := func(l *admission.Levels, after time.Duration, p call.Priority) admission.LevelVerdict {
+		return l.Check(start.Add(after), "search", "plot", "parish", p)
+	}
+	Convey("Given an answer with a level that admits only the first class", t, func() {
+		l := admission.NewLevels()
+		l.Observe(start, "search", "plot", "parish", closed)
+		Convey("calls below it pass and others are told when to come back", func() {
+			So(check(l, 0, order).Admit, ShouldBeTrue)
+			refused := check(l, 0, browsing)
+			So(refused.Admit, ShouldBeFalse)
+			So(refused.RetryAfter, ShouldBeGreaterThan, 0)
+			So(refused.Level, ShouldEqual, closed)
+		})
+		Convey("it holds for no other service, operation or caller", func() {
+			So(l.Check(start, "search", "plot", "mason", browsing).Admit, ShouldBeTrue)
+			So(l.Check(start, "search", "scan", "parish", browsing).Admit, ShouldBeTrue)
+		})
+		Convey("without newer answers a bounded number of calls goes as probes", func() {
+			probes := 0
+			for ms := range 1000 {
+				if check(l, time.Duration(ms)*time.Millisecond, browsing).Admit {
+					probes++
+				}
+			}
+			So(probes, ShouldBeBetweenOrEqual, 1, 4)
+		})
+		Convey("it no longer holds after a second, so it locks nothing out", func() {
+			So(check(l, 1100*time.Millisecond, browsing).Admit, ShouldBeTrue)
+		})
+		Convey("an answer that admits all ends it", func() {
+			l.Observe(start, "search", "plot", "parish", call.AdmitAll)
+			So(check(l, 0, browsing).Admit, ShouldBeTrue)
+			So(l.Len(), ShouldEqual, 0)
+		})
+	})
+	Convey("The table stays bounded whatever names the calls carry", t, func() {
+		l := admission.NewLevels()
+		for i := range 3 * admission.MaxLevels {
+			l.Observe(start, "search", "plot", time.Duration(i).String(), closed)
+		}
+		So(l.Len(), ShouldBeLessThanOrEqualTo, admission.MaxLevels)
+	})
+}
