--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,22 @@
 	go generate $(PACKAGES)
 
 check: format lint test
+
+.PHONY: mutations fuzz
+
+# Takes each guard of a promise out and expects its proof to fail.
+mutations:
+	go test ./proof -run TestMutations -count=1 -v
+
+# Rounds of the state machines with new seeds; prints how to repeat a failure.
+FUZZ_ROUNDS = 10
+FUZZ_CHECKS = 5000
+fuzz:
+	@packages=$$(grep -l pgregory.net/rapid $$(git ls-files '*_test.go') | xargs -n1 dirname | sort -u); \
+	for round in $$(seq $(FUZZ_ROUNDS)); do \
+		seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); \
+		for package in $$packages; do \
+			flags="-count=1 -rapid.seed=$$seed -rapid.checks=$(FUZZ_CHECKS) -rapid.nofailfile"; \
+			go test ./$$package $$flags || { echo "repeat with: go test ./$$package $$flags"; exit 1; }; \
+		done; \
+	done
--- a/claim/commit.go
+++ b/claim/commit.go
@@ -51,18 +51,20 @@
 // in one conditional write. A write without any still settles the earlier ones
 // that expect the same version: once it is in, they can't be.
 func (h *Home) commit(now time.Time, s *shard) []Action {
-	actions, c := h.collect(now, s)
+	drops := h.collectReleases(now, s)
+	next := s.ledger.after(s.ledger.nextFloor(now), drops)
+	claims, actions := h.collectClaims(s, next)
 	settles := s.unsettled && len(s.waiting) > 0
-	if len(c.adds) == 0 && len(c.drops) == 0 && !settles {
+	if claims == 0 && len(drops) == 0 && !settles {
 		return actions
 	}
 	h.lastToken++
-	h.stats.Writes++
-	h.stats.WrittenClaims += uint64(len(c.adds))
 	h.outage.probing(now)
 	s.lastCommit = now
-	s.write = &write{token: h.lastToken, version: s.version, next: s.ledger.with(c)}
-	value := s.write.next.encode()
+	s.write = &write{token: h.lastToken, version: s.version, next: next}
+	value := next.encode()
+	h.stats.Writes++
+	h.stats.WrittenClaims += uint64(claims)
 	h.stats.WrittenBytes += uint64(len(value))
 	return append(actions, Action{
 		Kind:          Write,
@@ -73,40 +75,46 @@
 	})
 }
 
-// collect makes the change of the next write. Keys for which the shard has no
-// room are refused.
-func (h *Home) collect(now time.Time, s *shard) ([]Action, *change) {
-	c := &change{floorMillis: s.ledger.nextFloor(now), drops: map[Fingerprint]bool{}}
-	for _, r := range h.due(now, s) {
+// collectReleases returns the claims that the next write gives back.
+func (h *Home) collectReleases(now time.Time, s *shard) map[Fingerprint]bool {
+	due := h.due(now, s)
+	s.idle = s.idle[len(due):]
+	for _, r := range due {
 		r.state = releasing
 		s.waiting = append(s.waiting, r)
 	}
-	s.idle = s.idle[len(h.due(now, s)):]
-	room := MaxEntries - len(s.ledger.entries)
-	roomUndated := MaxUndated - s.ledger.undated
-	var actions []Action
+	drops := map[Fingerprint]bool{}
 	for _, r := range s.waiting {
-		switch {
-		case r.state == releasing && len(r.waiters) == 0:
+		if r.state == releasing && len(r.waiters) == 0 {
 			r.inDoubt = true
-			c.drops[r.key.fingerprint] = true
-		case r.state == releasing || len(r.waiters) == 0:
+			drops[r.key.fingerprint] = true
+		}
+	}
+	return drops
+}
+
+// collectClaims adds the claims of the waiting keys to the next ledger and
+// returns their number. Keys for which it has no room are refused.
+func (h *Home) collectClaims(s *shard, next *ledger) (int, []Action) {
+	claims := 0
+	var actions []Action
+	for _, r := range s.waiting {
+		if r.state == releasing || len(r.waiters) == 0 {
 			continue
-		case room == 0:
+		}
+		switch {
+		case len(next.entries) >= MaxEntries:
 			actions = append(actions, h.refuseAll(r, call.ReasonPlatform, minRetainAge)...)
-		case r.key.millis == 0 && roomUndated == 0:
+		case r.key.millis == 0 && next.undated >= MaxUndated:
 			actions = append(actions, h.refuseAll(r, call.ReasonKey, 0)...)
 		default:
 			r.inDoubt = true
-			c.adds = append(c.adds, r.entry(h.self))
-			room--
-			if r.key.millis == 0 {
-				roomUndated--
-			}
+			next.add(r.entry(h.self))
+			claims++
 		}
 	}
 	h.prune(s)
-	return actions, c
+	return claims, actions
 }
 
 // ReadDone reports a read: the object's version and value, version 0 if it is
--- a/claim/home_test.go
+++ b/claim/home_test.go
@@ -100,6 +100,17 @@
 			only(other.Ask(epoch, 1, key, deadline), Read)
 			only(other.ReadDone(epoch, write.Shard, 2, release.Value, ReadOK), Write)
 		})
+		Convey("a release whose answer is lost is settled before the key may run here again", func() {
+			only(h.WriteDone(epoch, write.Shard, write.Token, Written, 1), Run)
+			h.Ran(epoch, key, RunResult{Outcome: call.NotRun, Reason: call.ReasonOverload})
+			now := epoch.Add(DefaultReleaseAfter)
+			release := only(h.Tick(now), Write)
+			only(h.WriteDone(now, write.Shard, release.Token, Unsettled, 0), Read)
+			So(h.Ask(now, 2, key, now.Add(time.Second)), ShouldBeEmpty)
+			now = now.Add(DefaultCommitInterval)
+			settling := only(h.ReadDone(now, write.Shard, 1, write.Value, ReadOK), Write)
+			only(h.WriteDone(now, write.Shard, settling.Token, Written, 2), Run)
+		})
 	})
 }
 
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -76,34 +76,18 @@
 	}
 }
 
-// change is a set of changes to a ledger that one write makes.
-type change struct {
-	floorMillis int64
-	adds        []entry
-	drops       map[Fingerprint]bool // claims given back
-}
-
-// keeps reports whether the change leaves the claim in the ledger.
-func (c *change) keeps(e entry) bool {
-	if c.drops[e.fingerprint] {
-		return false
-	}
-	return e.millis == 0 || e.millis >= c.floorMillis
-}
-
-// with returns a new ledger to which the change has been applied.
-func (l *ledger) with(c *change) *ledger {
+// after returns a copy of the ledger with a higher floor and without the claims
+// that are dropped.
+func (l *ledger) after(floorMillis int64, drops map[Fingerprint]bool) *ledger {
 	next := newLedger()
-	next.floorMillis = c.floorMillis
-	next.entries = make([]entry, 0, len(l.entries)+len(c.adds))
+	next.floorMillis = floorMillis
+	next.entries = make([]entry, 0, len(l.entries)+1)
 	for _, e := range l.entries {
-		if c.keeps(e) {
+		aged := e.millis != 0 && e.millis < floorMillis
+		if !aged && !drops[e.fingerprint] {
 			next.add(e)
 		}
 	}
-	for _, e := range c.adds {
-		next.add(e)
-	}
 	return next
 }
 
