--- a/claim/commit.go
+++ b/claim/commit.go
@@ -18,7 +18,7 @@
 	if s.ledger == nil {
 		return h.read(now, s)
 	}
-	if now.Before(s.lastCommit.Add(h.config.CommitInterval)) {
+	if now.Before(s.pace.earliest()) {
 		return nil
 	}
 	return h.commit(now, s)
@@ -42,7 +42,7 @@
 
 func (h *Home) read(now time.Time, s *shard) []Action {
 	h.stats.Reads++
-	h.outage.probing(now)
+	h.outage.probing()
 	s.reading = true
 	return []Action{{Kind: Read, Shard: s.number}}
 }
@@ -59,8 +59,8 @@
 		return actions
 	}
 	h.lastToken++
-	h.outage.probing(now)
-	s.lastCommit = now
+	h.outage.probing()
+	s.pace.started(now)
 	s.write = &write{token: h.lastToken, version: s.version, next: next}
 	value := next.encode()
 	h.stats.Writes++
@@ -127,6 +127,9 @@
 	s.reading = false
 	if err != ReadOK {
 		h.outage.failed(now)
+		if h.tolerates(now) {
+			return nil
+		}
 		return h.refuseWaiting(now, s)
 	}
 	h.outage.ended()
@@ -165,6 +168,7 @@
 		h.outage.ended()
 		h.stats.Conflicts++
 	default:
+		h.outage.unanswered(now)
 		h.stats.Unsettled++
 	}
 	s.doubt(w.version)
--- a/claim/config.go
+++ b/claim/config.go
@@ -11,9 +11,15 @@
 	MaxRecords int // keys that wait, run, or are claimed and not run
 	MaxWaiters int // calls that wait for a decision or an answer
 
-	// CommitInterval is the least time between the starts of two writes of one
-	// shard. A shard that was quiet for that long writes at once.
+	// CommitInterval is the time between two writes of one shard that always
+	// has keys waiting. A shard that was quiet may write CommitBurst times
+	// without a pause. See CommitIntervalFor.
 	CommitInterval time.Duration
+	CommitBurst    int
+
+	// OutageTolerance is how long after the start of an outage calls wait for
+	// its end, in place of being refused at once.
+	OutageTolerance time.Duration
 
 	// FutureTolerance is how far the time in a key may be ahead.
 	FutureTolerance time.Duration
@@ -29,17 +35,31 @@
 	DefaultResultCount     = 8192
 	DefaultMaxRecords      = 8192
 	DefaultMaxWaiters      = 16384
-	DefaultCommitInterval  = 20 * time.Millisecond
+	DefaultCommitInterval  = 25 * time.Millisecond
+	DefaultCommitBurst     = 4
+	DefaultOutageTolerance = time.Second
 	DefaultFutureTolerance = 30 * time.Second
 	DefaultReleaseAfter    = 5 * time.Second
 )
 
+// claimWritesPerSecond is the part of the platform's writes that claims of all
+// services may take together.
+const claimWritesPerSecond = 320
+
+// CommitIntervalFor returns the interval at which the shards of so many
+// services, all busy, keep within the platform's writes.
+func CommitIntervalFor(services int) time.Duration {
+	return max(DefaultCommitInterval, time.Duration(services*Shards)*time.Second/claimWritesPerSecond)
+}
+
 func (c Config) withDefaults() Config {
 	setDefault(&c.ResultBytes, DefaultResultBytes)
 	setDefault(&c.ResultCount, DefaultResultCount)
 	setDefault(&c.MaxRecords, DefaultMaxRecords)
 	setDefault(&c.MaxWaiters, DefaultMaxWaiters)
 	setDefault(&c.CommitInterval, DefaultCommitInterval)
+	setDefault(&c.CommitBurst, DefaultCommitBurst)
+	setDefault(&c.OutageTolerance, DefaultOutageTolerance)
 	setDefault(&c.FutureTolerance, DefaultFutureTolerance)
 	setDefault(&c.ReleaseAfter, DefaultReleaseAfter)
 	return c
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -31,13 +31,13 @@
 // Cost: a write for all keys of the shard that are waiting (group commit), and
 // one read when a home meets a shard first or lost an update. A call that is
 // alone waits for one platform write; under load a shard writes once in
-// Config.CommitInterval at most. Loss: if the home dies, the keys it claimed
+// Config.CommitInterval, which keeps all services within the platform's writes. Loss: if the home dies, the keys it claimed
 // and did not answer are 'unknown', and the answers of the others are gone.
 // While the platform is out, keys that are not claimed yet are refused.
 //
 // Claims age. Dated keys (UUIDv7) below the object's floor, which only rises,
 // are answered 'unknown'; claims below it are dropped. The floor rises over
-// claims of ten minutes' age, or of one minute if the shard is nearly full. A
+// claims of a quarter of an hour's age, or of one minute if the shard is nearly full. A
 // shard holds at most MaxEntries claims in less than 700 KB; when it can't drop
 // any, new keys are refused as not run. Undated keys never age, so only
 // MaxUndated of them fit in a shard.
--- a/claim/home.go
+++ b/claim/home.go
@@ -50,7 +50,10 @@
 		stats:   Stats{Refused: map[call.Reason]uint64{}},
 	}
 	for i := range h.shards {
-		h.shards[i] = &shard{number: i}
+		h.shards[i] = &shard{
+			number: i,
+			pace:   pace{interval: config.CommitInterval, burst: config.CommitBurst},
+		}
 	}
 	return h
 }
@@ -125,7 +128,7 @@
 	if reason := h.noRoom(now, w); reason != call.NoReason {
 		return h.refuse(w.id, key, reason, overloadRetryAfter)
 	}
-	if h.outage.blocks(now) {
+	if h.outage.blocks(now) && !h.tolerates(now) {
 		return h.refuse(w.id, key, call.ReasonPlatform, h.outage.retryAfter(now))
 	}
 	h.addWaiter(h.newRecord(s, key), w)
@@ -149,6 +152,11 @@
 	return h.unknown(w.id, key, e.claimant), true
 }
 
+// tolerates reports whether calls may wait although the platform is out.
+func (h *Home) tolerates(now time.Time) bool {
+	return h.outage.tolerated(now, h.config.OutageTolerance)
+}
+
 func (h *Home) noRoom(now time.Time, w waiter) call.Reason {
 	if !now.Before(w.deadline) {
 		return call.ReasonDeadline
@@ -222,24 +230,30 @@
 	h.issued.expire(now)
 	for _, s := range h.shards {
 		actions = append(actions, h.expireWaiting(now, s)...)
+		if h.outage.active && !h.tolerates(now) && !s.busy() {
+			actions = append(actions, h.refuseWaiting(now, s)...)
+		}
 		actions = append(actions, h.proceed(now, s)...)
 	}
 	return actions
 }
 
-// NextTick returns when Tick has something to do; false if nothing is due.
-// Calls that wait for a running key have no deadline here.
+// NextTick returns when Tick has something to do, unless another event comes
+// first; false if nothing is due. It changes with every event. Calls that wait
+// for a running key have no deadline here.
 func (h *Home) NextTick() (time.Time, bool) {
 	var next time.Time
+	found := false
 	consider := func(t time.Time) {
-		if next.IsZero() || t.Before(next) {
+		if !found || t.Before(next) {
 			next = t
 		}
+		found = true
 	}
 	for _, s := range h.shards {
 		h.considerShard(s, consider)
 	}
-	return next, !next.IsZero()
+	return next, found
 }
 
 func (h *Home) considerShard(s *shard, consider func(time.Time)) {
@@ -247,18 +261,29 @@
 		for _, w := range r.waiters {
 			consider(w.deadline)
 		}
+		if len(r.waiters) > 0 && h.outage.active && !s.busy() {
+			consider(h.outage.since.Add(h.config.OutageTolerance))
+		}
 	}
-	if s.busy() {
+	if s.busy() || h.outage.underWay {
 		return
 	}
 	if len(s.waiting) > 0 {
-		consider(h.earliestCall(s.lastCommit.Add(h.config.CommitInterval)))
+		consider(h.earliestCall(h.earliestOf(s)))
 	}
 	if len(s.idle) > 0 {
 		consider(h.earliestCall(s.idle[0].idleSince.Add(h.config.ReleaseAfter)))
 	}
 }
 
+// earliestOf returns when the shard's next platform call may start.
+func (h *Home) earliestOf(s *shard) time.Time {
+	if s.ledger == nil {
+		return time.Time{}
+	}
+	return s.pace.earliest()
+}
+
 // earliestCall returns when a platform call that is due at t can start.
 func (h *Home) earliestCall(t time.Time) time.Time {
 	if h.outage.blocks(t) {
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -15,7 +15,7 @@
 	MaxUndated = 2048
 
 	// retainAge is the age from which a claim may be dropped.
-	retainAge = 10 * time.Minute
+	retainAge = 15 * time.Minute
 	// minRetainAge is the age from which a claim may be dropped when the shard
 	// is nearly full.
 	minRetainAge = time.Minute
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -9,11 +9,11 @@
 	ledger  *ledger // content at that version, nil if it must be read first
 	seenAt  time.Time
 
-	reading    bool
-	write      *write // in flight
-	unsettled  bool   // an earlier write at unsettledAt may still take effect
-	doubtAt    uint64 // version that the unsettled writes expect
-	lastCommit time.Time
+	reading   bool
+	write     *write // in flight
+	unsettled bool   // an earlier write at unsettledAt may still take effect
+	doubtAt   uint64 // version that the unsettled writes expect
+	pace      pace
 
 	// waiting has the records whose state depends on the object, oldest first.
 	waiting []*record
