--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,18 @@
 			go test ./$$package $$flags || { echo "repeat with: go test ./$$package $$flags"; exit 1; }; \
 		done; \
 	done
+
+# The stand-ins and runner of scenarios: demo shows one, bench measures all, or
+# the files of SCENARIO=path.
+SCENARIO ?= standin/scenarios
+
+.PHONY: standin demo bench
+
+standin: build
+	go build -o bin/ ./standin/cmd/standin
+
+demo: standin
+	bin/standin demo -out out/demo standin/scenarios/demo/lindenhuber.scenario
+
+bench: standin
+	bin/standin run -out out $(SCENARIO)
