Run scripted scenarios over real processes

Cause: promises must hold for processes that are killed, paused, stopped, and cut from the platform, not only for the decisions. Verdicts are promises, times only bound the waiting. Seen: a repeat at another home than the first run's is answered 'unknown' though the claimant lives and has the answer.

--- a/claim/placement.go
+++ b/claim/placement.go
@@ -86,3 +86,14 @@
 func ClaimantOf(id fleet.InstanceID) Claimant {
 	return Claimant(xxhash.Sum64String(string(id)))
 }
+
+// InstanceOf returns the instance that is the claimant; false if it is not
+// among them. It may still hold the answer of the run that it claimed.
+func (c Claimant) InstanceOf(instances []fleet.Instance) (fleet.Instance, bool) {
+	for _, instance := range instances {
+		if ClaimantOf(instance.ID) == c {
+			return instance, true
+		}
+	}
+	return fleet.Instance{}, false
+}
--- /dev/null
+++ b/proof/fleet_test.go
@@ -0,0 +1,298 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/claim"
+	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/rpc/operator"
+)
+
+const (
+	// readyTimeout is how long a condition may take to come about; it decides
+	// no verdict but that of a system that is stuck.
+	readyTimeout = 30 * time.Second
+	pollPeriod   = 20 * time.Millisecond
+	firstPort    = 12_000
+	lastPort     = 20_000
+)
+
+// binaries builds the daemon, the client and the stand-ins once.
+var binaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "gypsum-proof")
+	if err != nil {
+		return "", err
+	}
+	build := exec.Command("go", "build", "-o", dir, "./cmd/...", "./standin/cmd/standin")
+	build.Dir = moduleRoot
+	output, err := build.CombinedOutput()
+	return dir, errors.Wrapf(err, "%s", output)
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := binaries(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// processes are the processes of one script.
+type processes struct {
+	dir       string // for logs and journals
+	bin       string
+	platform  string // address
+	instances map[string]*instance
+	all       []*process
+	client    *http.Client
+}
+
+// instance is a target with its node.
+type instance struct {
+	name, service            string
+	call, peer, targetListen string
+	node, target             *process
+}
+
+// process is one child process.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	exited chan struct{} // closed when it has exited
+}
+
+func newProcesses(dir, bin string) *processes {
+	return &processes{
+		dir: dir, bin: bin, instances: map[string]*instance{},
+		// No kept connections and no repeats of net/http: each call is one call.
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: readyTimeout},
+	}
+}
+
+// start starts a binary that dies with this test.
+func (p *processes) start(name, binary string, args ...string) (*process, error) {
+	log, err := os.OpenFile(filepath.Join(p.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(p.bin, binary), args...)
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	started := &process{name: name, cmd: cmd, exited: make(chan struct{})}
+	p.all = append(p.all, started)
+	go func() {
+		_ = cmd.Wait()
+		close(started.exited)
+	}()
+	return started, nil
+}
+
+// stop ends all processes.
+func (p *processes) stop() {
+	for _, process := range p.all {
+		_ = process.cmd.Process.Kill()
+		<-process.exited
+	}
+}
+
+func (p *processes) startPlatform() error {
+	p.platform = freeAddress()
+	if _, err := p.start("platform", "standin", "platform", "-listen", p.platform); err != nil {
+		return err
+	}
+	return p.await("the platform answers", func() error { return p.get("http://" + p.platform + "/stats") })
+}
+
+// startInstance starts a target and its node; settings is the target's file.
+func (p *processes) startInstance(name, service, settings string) error {
+	in := &instance{
+		name: name, service: service,
+		call: freeAddress(), peer: freeAddress(), targetListen: freeAddress(),
+	}
+	p.instances[name] = in
+	var err error
+	if in.node, err = p.start(name+".node", "gypsumd", "-call-listen", in.call, "-peer-listen", in.peer,
+		"-platform", "http://"+p.platform, "-failure-domain", "by-1", "-region", "bayern",
+		"-drain-timeout", "10s", "-seeds", p.seeds(name)); err != nil {
+		return err
+	}
+	if in.target, err = p.start(name+".target", "standin", "target", "-settings", settings,
+		"-listen", in.targetListen, "-node", in.call, "-journal", filepath.Join(p.dir, name+".journal")); err != nil {
+		return err
+	}
+	return p.await(name+" is ready", func() error { return p.get("http://" + in.peer + "/readyz") })
+}
+
+func (p *processes) seeds(except string) string {
+	var seeds []string
+	for name, in := range p.instances {
+		if name != except {
+			seeds = append(seeds, in.peer)
+		}
+	}
+	return strings.Join(seeds, ",")
+}
+
+func (p *processes) get(url string) error {
+	response, err := p.client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s: %s", url, response.Status)
+	}
+	return nil
+}
+
+// await polls until the condition has no error.
+func (p *processes) await(what string, condition func() error) error {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrapf(err, "not reached: %s", what)
+		}
+		time.Sleep(pollPeriod)
+	}
+}
+
+// status asks a node what it knows.
+func (p *processes) status(in *instance) (*operator.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	client := operator.NewOperatorProtobufClient("http://"+in.peer, p.client)
+	return client.Status(ctx, &operator.StatusRequest{WithMembers: true})
+}
+
+// members returns the service's members as the instance sees them.
+func (p *processes) members(in *instance, service string) ([]fleet.Instance, error) {
+	status, err := p.status(in)
+	if err != nil {
+		return nil, err
+	}
+	var members []fleet.Instance
+	for _, m := range status.Members {
+		state, ok := stateNamed(m.State)
+		if ok && m.Service == service {
+			members = append(members, fleet.Instance{
+				ID: fleet.InstanceID(m.Node), PeerAddress: m.PeerAddress, Service: m.Service, State: state,
+			})
+		}
+	}
+	return members, nil
+}
+
+func stateNamed(name string) (fleet.State, bool) {
+	for state := fleet.Starting; state <= fleet.Left; state++ {
+		if state.String() == name {
+			return state, true
+		}
+	}
+	return 0, false
+}
+
+// home returns the instance that is home of the key as seen by another one.
+func (p *processes) home(from *instance, service string, key claim.Key) (*instance, error) {
+	members, err := p.members(from, service)
+	if err != nil {
+		return nil, err
+	}
+	home, ok := claim.HomeOf(service, key.Shard(), members)
+	if !ok {
+		return nil, errors.Newf("%s has no members", service)
+	}
+	for _, in := range p.instances {
+		if in.peer == home.PeerAddress {
+			return in, nil
+		}
+	}
+	return nil, errors.Newf("no instance at %s", home.PeerAddress)
+}
+
+// post sends a JSON body, as to the controls of the stand-ins.
+func (p *processes) post(url, body string) error {
+	response, err := p.client.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return errors.Newf("%s: %s", url, response.Status)
+	}
+	return nil
+}
+
+// issue returns a key of the instance.
+func (p *processes) issue(in *instance) (string, error) {
+	response, err := p.client.Post("http://"+in.call+"/keys/"+in.service+"?count=1", "", nil)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	var reply struct {
+		Keys []string `json:"keys"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+		return "", err
+	}
+	if len(reply.Keys) != 1 {
+		return "", errors.Newf("%d keys issued, status %s", len(reply.Keys), response.Status)
+	}
+	return reply.Keys[0], nil
+}
+
+var nextPort = firstPort + os.Getpid()*61%(lastPort-firstPort)
+
+// freeAddress returns a loopback address that is free for TCP and UDP.
+func freeAddress() string {
+	portLock.Lock()
+	defer portLock.Unlock()
+	for {
+		nextPort++
+		if nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if isFree(address) {
+			return address
+		}
+	}
+}
+
+var portLock sync.Mutex
+
+func isFree(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer listener.Close()
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return packets.Close() == nil
+}
