--- a/command/status/status.go
+++ b/command/status/status.go
@@ -113,7 +113,7 @@
 func serviceTable(services []serviceRow) *table.Table {
 	t := table.New("SERVICE", "TARGETS", "READY", "RUNNING/LIMIT", "SLOTS", "QUEUED", "ADMITS")
 	for _, s := range services {
-		t.Row(s.Service, s.Targets, s.Ready, fmt.Sprintf("%d/%d", s.Running, s.Limit), s.Slots, s.Queued, s.Admits)
+		t.Row(s.Service, s.Targets, s.Ready, fmt.Sprintf("%d/%d", s.Running, s.Limit), known(s.Slots), s.Queued, s.Admits)
 	}
 	return t
 }
@@ -121,11 +121,12 @@
 func targetTable(targets []targetRow) *table.Table {
 	t := table.New("NODE", "ADDRESS", "DOMAIN", "SERVICE", "STATE", "RUNNING/LIMIT", "SLOTS", "QUEUED", "ADMITS", "INVENTORY", "NOTE")
 	for _, r := range targets {
-		load := fmt.Sprintf("%d/%d", r.Running, r.Limit)
 		if !r.Answers {
-			load = ""
+			t.Row(r.Node, r.Address, r.FailureDomain, r.Service, r.State, "", "", "", "", "", r.Error)
+			continue
 		}
-		t.Row(r.Node, r.Address, r.FailureDomain, r.Service, r.State, load, r.Slots, r.Queued, r.Admits, r.Version, r.Error)
+		load := fmt.Sprintf("%d/%d", r.Running, r.Limit)
+		t.Row(r.Node, r.Address, r.FailureDomain, r.Service, r.State, load, known(r.Slots), r.Queued, r.Admits, r.Version, r.Error)
 	}
 	return t
 }
@@ -137,3 +138,11 @@
 	}
 	return t
 }
+
+// known prints a number that is 0 while no inventory is in force.
+func known(number uint32) string {
+	if number == 0 {
+		return ""
+	}
+	return fmt.Sprint(number)
+}
--- a/command/timeline/page/mark.go
+++ b/command/timeline/page/mark.go
@@ -53,7 +53,7 @@
 func marked(e *timeline.Event) bool {
 	switch e.Kind {
 	case timeline.PlatformOut, timeline.PlatformBack, timeline.MemberLost, timeline.ConfigAccepted,
-		timeline.ConfigRefused, timeline.NodeStopping:
+		timeline.ConfigRefused, timeline.NodeStopping, timeline.MemberDraining:
 		return true
 	case timeline.TargetState:
 		return e.Detail == fleet.Draining.String()
@@ -67,6 +67,8 @@
 	switch e.Kind {
 	case timeline.MemberLost:
 		return "member lost: " + e.Detail
+	case timeline.MemberDraining:
+		return "member draining: " + e.Detail
 	case timeline.ConfigAccepted:
 		return fmt.Sprintf("inventory version %.0f in force", e.Value)
 	case timeline.ConfigRefused:
--- a/command/timeline/page/page.go
+++ b/command/timeline/page/page.go
@@ -9,6 +9,7 @@
 	_ "embed"
 	"html/template"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/gypsumford/gypsumford/fleet"
@@ -91,11 +92,13 @@
 	}
 }
 
+// servicePanels leaves out what didn't change.
 func servicePanels(events []timeline.Event, s span) []panel {
-	return []panel{
-		{title: "Concurrency limit, sum over targets", lines: sums(events, s, timeline.LimitChanged), note: "no limit changed"},
-		{title: "Share admitted by the strictest target", lines: lowest(events, s, timeline.LevelChanged), top: 1, note: "no level changed"},
+	all := []panel{
+		{title: "Concurrency limit, sum over targets", lines: sums(events, s, timeline.LimitChanged)},
+		{title: "Share admitted by the strictest target", lines: lowest(events, s, timeline.LevelChanged), top: 1},
 	}
+	return slices.DeleteFunc(all, func(p panel) bool { return len(p.lines) == 0 })
 }
 
 func newRow(e *timeline.Event) row {
--- a/timeline/kind.go
+++ b/timeline/kind.go
@@ -38,6 +38,10 @@
 	ConfigRefused
 	// MemberJoined: a node became known. Detail: its id.
 	MemberJoined
+	// MemberReady: a node's target takes calls. Detail: the node's id.
+	MemberReady
+	// MemberDraining: a node's target takes no new calls. Detail: the node's id.
+	MemberDraining
 	// MemberSuspect: a node stopped answering. Detail: its id.
 	MemberSuspect
 	// MemberLost: a node died or left. Detail: its id.
@@ -66,7 +70,8 @@
 	Completed: "completed", Unknown: "unknown", Refused: "refused", Retried: "retried",
 	Hedged: "hedged", Cancelled: "cancelled", Claimed: "claimed", ClaimFenced: "claim-fenced",
 	ConfigAccepted: "config-accepted", ConfigRefused: "config-refused",
-	MemberJoined: "member-joined", MemberSuspect: "member-suspect", MemberLost: "member-lost",
+	MemberJoined: "member-joined", MemberReady: "member-ready", MemberDraining: "member-draining",
+	MemberSuspect: "member-suspect", MemberLost: "member-lost",
 	TargetState: "target-state", LimitChanged: "limit-changed", LevelChanged: "level-changed",
 	PlatformOut: "platform-out", PlatformBack: "platform-back",
 	NodeStarted: "node-started", NodeStopping: "node-stopping",
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -1,6 +1,14 @@
 package timeline
 
-import "github.com/gypsumford/gypsumford/fleet"
+import (
+	"strings"
+
+	"github.com/gypsumford/gypsumford/fleet"
+)
+
+// MaxDetailBytes is the longest detail that a ring keeps; the rest is cut off, so
+// that the memory of a ring is bounded.
+const MaxDetailBytes = 512
 
 // maxLamport is the highest clock value that is believed. A node that sends a
 // higher one is faulty; following it would let the clock overflow.
@@ -26,6 +34,9 @@
 	r.sequence++
 	r.lamport++
 	e.Sequence, e.Lamport, e.Node = r.sequence, r.lamport, r.node
+	if len(e.Detail) > MaxDetailBytes {
+		e.Detail = strings.Clone(e.Detail[:MaxDetailBytes])
+	}
 	r.slots[r.sequence%uint64(len(r.slots))] = e
 }
 
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,6 +36,12 @@
 		So(dropped, ShouldEqual, 0)
 		So(events, ShouldBeEmpty)
 	})
+	Convey("A long detail is cut off, so that the memory is bounded", t, func() {
+		ring := NewRing("node-a", 1)
+		ring.Record(Event{Kind: ConfigRefused, Detail: strings.Repeat("x", 1<<20)})
+		events, _ := ring.After(0, Filter{}, 0)
+		So(len(events[0].Detail), ShouldEqual, MaxDetailBytes)
+	})
 	Convey("Recording allocates nothing", t, func() {
 		ring := NewRing("node-a", 16)
 		e := Event{Kind: Sent, Time: time.Unix(1, 0), Request: "r", Service: "search"}
