--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -32,7 +32,7 @@
 type Retry struct {
 	BudgetPercent int           // retries per 100 recent successes on one link
 	MaxPerCall    int           // tries of one call at one hop, the first included
-	BackoffMin    time.Duration // shortest pause before a retry
+	BackoffMin    time.Duration // pause before the second retry; doubles after it
 	BackoffMax    time.Duration // longest pause before a retry
 }
 
