--- a/command/apply/apply.go
+++ b/command/apply/apply.go
@@ -112,7 +112,7 @@
 func refuse(file string, err error) error {
 	var findings *finding.List
 	if errors.As(err, &findings) {
-		return errors.Newf("%d findings in %s, nothing was changed:\n%s", findings.Len(), file, findings)
+		return errors.Newf("%s in %s, nothing was changed:\n%s", command.Count(findings.Len(), "finding"), file, findings)
 	}
 	return err
 }
@@ -167,6 +167,6 @@
 			return errors.Wrap(err, "write the output")
 		}
 	}
-	_, err := fmt.Fprintf(env.Stdout, "version %d is on the platform, %d changes\n", r.Version, len(r.Changes))
+	_, err := fmt.Fprintf(env.Stdout, "version %d is on the platform, %s\n", r.Version, command.Count(len(r.Changes), "change"))
 	return errors.Wrap(err, "write the output")
 }
--- a/command/check/check.go
+++ b/command/check/check.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -55,7 +56,7 @@
 		err = writeText(env, result, findings)
 	}
 	if err == nil && !result.OK {
-		err = errors.Newf("%d findings in %s; nothing was changed", findings.Len(), *file)
+		err = errors.Newf("%s in %s", command.Count(findings.Len(), "finding"), *file)
 	}
 	return err
 }
@@ -79,7 +80,8 @@
 		_, err := fmt.Fprintln(env.Stdout, findings)
 		return errors.Wrap(err, "write the output")
 	}
-	_, err := fmt.Fprintf(env.Stdout, "%s: no findings: %d services, %d operations, %d classes\n",
-		result.File, result.Services, result.Operations, len(result.Classes))
+	_, err := fmt.Fprintf(env.Stdout, "%s: no findings: %s, %s, classes %s\n", result.File,
+		command.Count(result.Services, "service"), command.Count(result.Operations, "operation"),
+		strings.Join(result.Classes, " > "))
 	return errors.Wrap(err, "write the output")
 }
--- a/command/node/node.go
+++ b/command/node/node.go
@@ -107,6 +107,9 @@
 	if !errors.As(err, &twirpError) {
 		return err
 	}
+	if twirpError.Meta("http_error_from_intermediary") != "" {
+		return errors.Newf("HTTP status %s, so this is not the peer listener of a node", twirpError.Meta("status_code"))
+	}
 	message := strings.TrimPrefix(twirpError.Msg(), "failed to do request: ")
 	return errors.New(message)
 }
--- a/command/output.go
+++ b/command/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"time"
 
@@ -53,6 +54,14 @@
 	return errors.Wrap(encoder.Encode(value), "write the output")
 }
 
+// Count prints a number of things, such as "1 change" or "2 changes".
+func Count(number int, thing string) string {
+	if number == 1 {
+		return "1 " + thing
+	}
+	return fmt.Sprintf("%d %ss", number, thing)
+}
+
 func list(formats []string) string {
 	text := formats[0]
 	for _, format := range formats[1:] {
--- a/command/timeline/collect.go
+++ b/command/timeline/collect.go
@@ -13,6 +13,9 @@
 	"github.com/gypsumford/gypsumford/timeline/eventpb"
 )
 
+// mostEvents bounds the events of all nodes together, and so the memory.
+const mostEvents = 1_000_000
+
 // pageSize is the number of events that one request to a node asks for.
 const pageSize = 5000
 
@@ -40,6 +43,7 @@
 		return collection{}, err
 	}
 	live, _ := node.Split(status.GetMembers())
+	limit = max(min(limit, mostEvents/max(len(live), 1)), 1)
 	answers := node.Each(ctx, client, live, func(ctx context.Context, at operator.Operator) (nodeEvents, error) {
 		return readNode(ctx, at, filter, limit)
 	})
@@ -131,6 +135,9 @@
 		env.Notef("note: events are missing: %s", err)
 	}
 	if dropped > 0 {
-		env.Notef("note: %d older events of %d nodes are lost to age or to -limit", dropped, len(c.lossy()))
+		env.Notef("note: %s of %s lost to age or left out by the limit", command.Count(int(dropped), "older event"), command.Count(len(c.lossy()), "node"))
+	}
+	if len(c.Events) == 0 {
+		env.Notef("note: no event matches; nodes keep only their last ones")
 	}
 }
