--- a/command/apply/apply_test.go
+++ b/command/apply/apply_test.go
@@ -27,7 +27,10 @@
 	value      []byte
 	loseAfter  int    // answers to lose after the write took effect
 	loseBefore int    // writes to lose without effect
+	loseLate   int    // writes to lose that take effect when the next one arrives
+	late       []byte // value of such a write
 	between    func() // runs once before the next write
+	lost       func() // runs once after a write whose answer is lost
 }
 
 func (f *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -51,26 +54,47 @@
 		f.between = nil
 		between()
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.loseBefore > 0 {
-		f.loseBefore--
-		w.WriteHeader(http.StatusServiceUnavailable)
+	status, lost := f.write(r.Header.Get("If-Version"), body)
+	if status != http.StatusOK {
+		w.WriteHeader(status)
 		return
 	}
-	if r.Header.Get("If-Version") != fmt.Sprint(f.version) {
-		w.Header().Set("Version", fmt.Sprint(f.version))
-		w.WriteHeader(http.StatusConflict)
+	if lost {
+		if hook := f.lost; hook != nil {
+			f.lost = nil
+			hook()
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	w.Header().Set("Version", fmt.Sprint(f.version))
+}
+
+// write applies a write and returns the status, and whether the answer is lost.
+func (f *fakePlatform) write(ifVersion string, body []byte) (status int, lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.late != nil {
+		f.version, f.value, f.late = f.version+3, f.late, nil
+	}
+	switch {
+	case f.loseBefore > 0:
+		f.loseBefore--
+		return http.StatusServiceUnavailable, false
+	case ifVersion != fmt.Sprint(f.version):
+		return http.StatusConflict, false
+	case f.loseLate > 0:
+		f.loseLate--
+		f.late = body
+		return http.StatusServiceUnavailable, false
+	}
 	f.version += 3
 	f.value = body
 	if f.loseAfter > 0 {
 		f.loseAfter--
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return http.StatusOK, true
 	}
-	w.Header().Set("Version", fmt.Sprint(f.version))
+	return http.StatusOK, false
 }
 
 const document = `classes: [a]
@@ -185,6 +209,26 @@
 			So(anna.err.String(), ShouldContainSubstring, "answer was lost")
 		})
 
+		Convey("an update that takes effect late is found when it is sent again", func() {
+			store.loseLate = 1
+			anna.write(withSlots("20"))
+			So(anna.apply(), ShouldEqual, command.ExitDone)
+			So(store.version, ShouldEqual, 6)
+			So(anna.err.String(), ShouldContainSubstring, "answer was lost")
+		})
+
+		Convey("a lost answer of an update that others have replaced since is told as such", func() {
+			store.loseAfter = 1
+			store.lost = func() {
+				bjorn.write(strings.Replace(bjorn.get(), "slots: 20", "slots: 30", 1))
+				bjorn.apply()
+			}
+			anna.write(withSlots("20"))
+			So(anna.apply(), ShouldEqual, command.ExitDone)
+			So(anna.err.String(), ShouldContainSubstring, "another operator has changed the inventory since")
+			So(string(store.value), ShouldContainSubstring, "slots: 30")
+		})
+
 		Convey("a lost update is sent again, and takes effect once", func() {
 			store.loseBefore = 2
 			anna.write(withSlots("20"))
--- a/command/apply/update.go
+++ b/command/apply/update.go
@@ -32,15 +32,12 @@
 	lost     bool                   // an answer of the platform was lost
 }
 
-// run writes the document, unless the platform holds it already or holds
-// another version than the expected one.
+// run writes the document, unless the platform holds it already. The platform
+// refuses it if it holds another version than the expected one.
 func (u *update) run(ctx context.Context) (result, error) {
 	if u.current.Version != 0 && bytes.Equal(u.current.Text, u.document.Text) {
 		return result{Version: u.current.Version}, nil
 	}
-	if u.current.Version != u.expected {
-		return result{}, u.conflict(u.current)
-	}
 	value, err := inventory.Encode(changelog.Join(u.current.Log.Add(u.entry), u.document.Text))
 	if err != nil {
 		return result{}, err
--- a/command/status/status_test.go
+++ b/command/status/status_test.go
@@ -90,6 +90,11 @@
 				Reasons: map[string]uint64{"overload": 14, "deadline": 16},
 			})
 		})
+		Convey("of two targets that admit a part of one class, the lower share counts", func() {
+			first.status.Target.StrictestClass, first.status.Target.AdmittedShare = "orders", 0.95
+			_, stdout, _ := runVerbs("status", "-node", a.GetPeerAddress())
+			So(stdout, ShouldContainSubstring, "orders 90%\n\nTARGETS")
+		})
 		Convey("text names reasons, and what is known of nodes that are gone", func() {
 			_, stdout, _ := runVerbs("status", "-node", a.GetPeerAddress())
 			So(stdout, ShouldContainSubstring, "deadline 16, overload 14")
--- a/inventory/fuzz_test.go
+++ b/inventory/fuzz_test.go
@@ -156,11 +156,14 @@
 	return out.Bytes()
 }
 
-// fullSize returns an inventory of the size that the system is designed for.
-func fullSize() *Inventory {
+// fullServices is the number of services that the system is designed for.
+const fullServices = 950
+
+// sized returns an inventory of the number of services, in chains of 11.
+func sized(services int) *Inventory {
 	inv := &Inventory{Classes: []string{"paid", "lookups", "browsing"}, Attempts: Attempts{Bound: 32},
 		Retry: Retry{BudgetPercent: 10, MaxPerCall: 2, BackoffMin: DefaultBackoffMin, BackoffMax: DefaultBackoffMax}}
-	for i := range 950 {
+	for i := range services {
 		service := Service{Name: fmt.Sprintf("service-%03d", i), Contract: Contract{Slots: 70, Connections: 500, Drain: DefaultDrain}}
 		if i%11 != 0 {
 			service.Calls = []string{fmt.Sprintf("service-%03d", i-1)}
@@ -175,7 +178,7 @@
 
 // TestFullSize keeps the caps above the size that the system is designed for.
 func TestFullSize(t *testing.T) {
-	text := Format(fullSize())
+	text := Format(sized(fullServices))
 	stored, err := Encode(text)
 	if err != nil || len(stored) > MaxDocumentBytes/2 {
 		t.Fatalf("%d bytes stored, error %v", len(stored), err)
@@ -187,13 +190,18 @@
 	checkFixpoint(t, inv)
 }
 
-func BenchmarkParseFullSize(b *testing.B) {
-	text := Format(fullSize())
-	b.ReportAllocs()
-	b.SetBytes(int64(len(text)))
-	for b.Loop() {
-		if _, err := Parse("full.yaml", text); err != nil {
-			b.Fatal(err)
-		}
+// BenchmarkParse gives the slope of the cost over the number of services.
+func BenchmarkParse(b *testing.B) {
+	for _, services := range []int{4, 100, 300, fullServices} {
+		text := Format(sized(services))
+		b.Run(fmt.Sprintf("services-%d", services), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(len(text)))
+			for b.Loop() {
+				if _, err := Parse("full.yaml", text); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
 	}
 }
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -45,3 +45,16 @@
 		So(list.String()+"\n", ShouldEqual, string(want))
 	})
 }
+
+func TestAttemptsMustCoverTheChain(t *testing.T) {
+	Convey("A bound of as many attempts as services in the longest chain is accepted, one less is not", t, func() {
+		inv := sized(11)
+		inv.Attempts.Bound = 11
+		_, err := Parse("chain.yaml", Format(inv))
+		So(err, ShouldBeNil)
+		inv.Attempts.Bound = 10
+		_, err = Parse("chain.yaml", Format(inv))
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "a bound of 10 attempts is below the 11 services of the longest chain of calls")
+	})
+}
