--- a/command/apply/apply_test.go
+++ b/command/apply/apply_test.go
@@ -207,6 +207,7 @@
 			So(anna.apply(), ShouldEqual, command.ExitDone)
 			So(store.version, ShouldEqual, 6)
 			So(anna.err.String(), ShouldContainSubstring, "answer was lost")
+			So(anna.err.String(), ShouldNotContainSubstring, "another operator")
 		})
 
 		Convey("an update that takes effect late is found when it is sent again", func() {
@@ -215,6 +216,7 @@
 			So(anna.apply(), ShouldEqual, command.ExitDone)
 			So(store.version, ShouldEqual, 6)
 			So(anna.err.String(), ShouldContainSubstring, "answer was lost")
+			So(anna.err.String(), ShouldNotContainSubstring, "another operator")
 		})
 
 		Convey("a lost answer of an update that others have replaced since is told as such", func() {
