Time line page: a request completes where its target does

Seen by hand on eight nodes: the page showed a fraction of the completed requests. It looked for the completion at the node that the request had entered, but the node beside the target records it.

--- a/command/status/status.go
+++ b/command/status/status.go
@@ -25,8 +25,8 @@
 important class that is still let in, with the share of it.
 TARGETS has a row for each node; a node that doesn't answer shows what the
 others know of it.
-CALLS counts since each node started: a call that passes three nodes counts on
-each of them.
+CALLS counts root calls and child calls, at the node that each one entered, since
+that node started.
 
 Examples:
   gypsumctl status -node 10.0.0.7:7100
--- a/command/timeline/page/page.go
+++ b/command/timeline/page/page.go
@@ -86,9 +86,10 @@
 }
 
 func classPanels(events []timeline.Event, s span) []panel {
+	requests := requestsOf(events)
 	return []panel{
-		{title: "Whole requests completed a second", lines: requestRates(events, s, timeline.Completed), note: "no completed requests"},
-		{title: "Whole requests refused a second", lines: requestRates(events, s, timeline.Refused), note: "nothing refused"},
+		{title: "Whole requests completed a second", lines: requestRates(requests, s, completed), note: "no completed requests"},
+		{title: "Whole requests refused a second", lines: requestRates(requests, s, refused), note: "nothing refused"},
 	}
 }
 
--- a/command/timeline/page/series.go
+++ b/command/timeline/page/series.go
@@ -61,42 +61,18 @@
 	return s
 }
 
-// root is the call that a request began with.
-type root struct {
-	node               fleet.InstanceID
-	service, operation string
-}
-
-// roots finds the root call of each request: that of its first event.
-func roots(events []timeline.Event) map[string]root {
-	found := make(map[string]root)
-	for i := range events {
-		e := &events[i]
-		if e.Request == "" {
-			continue
-		}
-		if _, known := found[string(e.Request)]; !known {
-			found[string(e.Request)] = root{e.Node, e.Service, e.Operation}
-		}
-	}
-	return found
-}
-
-// requestRates returns a series for each class: how many whole requests ended by
-// an event of the kind, in each second.
-func requestRates(events []timeline.Event, s span, kind timeline.Kind) []series {
+// requestRates returns a series for each class: how many whole requests ended
+// in this way, in each second.
+func requestRates(requests []request, s span, end ending) []series {
 	counts := make(map[string][]int)
-	rootOf := roots(events)
-	for i := range events {
-		e := &events[i]
-		isRoot := rootOf[string(e.Request)] == root{e.Node, e.Service, e.Operation}
-		if e.Kind != kind || e.Request == "" || !isRoot {
+	for _, r := range requests {
+		if r.end != end {
 			continue
 		}
-		if counts[e.Class] == nil {
-			counts[e.Class] = make([]int, s.count())
+		if counts[r.class] == nil {
+			counts[r.class] = make([]int, s.count())
 		}
-		counts[e.Class][s.index(e.Time)]++
+		counts[r.class][s.index(r.at)]++
 	}
 	lines := make([]series, 0, len(counts))
 	for _, class := range slices.Sorted(maps.Keys(counts)) {
