--- /dev/null
+++ b/command/verbs/nodes_test.go
@@ -0,0 +1,189 @@
+package verbs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/agent"
+	"github.com/gypsumford/gypsumford/api/platform"
+	"github.com/gypsumford/gypsumford/command"
+	"github.com/gypsumford/gypsumford/settings"
+)
+
+// settleTimeout bounds the wait for what nodes do in the background.
+const settleTimeout = 20 * time.Second
+
+const nodesInventory = `classes: [orders, browsing]
+attempts: {bound: 4}
+services:
+  - name: shop
+    contract: {slots: 4, connections: 100}
+    operations: [{name: look, class: browsing, repeatable: true, deadline: 2s}]
+`
+
+// memoryPlatform keeps objects in memory; a watch answers at once.
+type memoryPlatform struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object
+}
+
+func (p *memoryPlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := strings.TrimPrefix(r.URL.Path, "/objects/")
+	object := p.objects[key]
+	switch {
+	case r.URL.Path == "/objects":
+		_, _ = io.WriteString(w, "[]")
+	case r.Method == http.MethodPut:
+		p.put(w, r, key, object.Version)
+	case object.Version == 0:
+		w.WriteHeader(http.StatusNotFound)
+	case r.URL.Query().Get("watch-after") == strconv.FormatUint(object.Version, 10):
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		w.Header().Set(platform.HeaderVersion, strconv.FormatUint(object.Version, 10))
+		_, _ = w.Write(object.Value)
+	}
+}
+
+func (p *memoryPlatform) put(w http.ResponseWriter, r *http.Request, key string, version uint64) {
+	if expected := r.Header.Get(platform.HeaderIfVersion); expected != strconv.FormatUint(version, 10) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	value, _ := io.ReadAll(r.Body)
+	p.objects[key] = platform.Object{Key: key, Version: version + 1, Value: value}
+	w.Header().Set(platform.HeaderVersion, strconv.FormatUint(version+1, 10))
+}
+
+// runningNode is a node in this process with the addresses that it got.
+type runningNode struct {
+	call, peer string
+}
+
+func startNode(t *testing.T, platformURL string, seeds ...string) runningNode {
+	node := runningNode{call: freeAddress(t), peer: freeAddress(t)}
+	set := settings.New("gypsumd", func(string) string { return "" })
+	declared := agent.DeclareSettings(set)
+	if err := set.Parse([]string{
+		"-call-listen", node.call, "-peer-listen", node.peer, "-platform", platformURL,
+		"-failure-domain", "by-1", "-region", "bayern", "-seeds", strings.Join(seeds, ","),
+	}); err != nil {
+		t.Fatal(err)
+	}
+	running, err := agent.New(declared, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = running.Run(ctx)
+	}()
+	Reset(func() { stop(); <-ended })
+	return node
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// announce tells the node, each second, of a target that answers every call.
+func (n runningNode) announce(state string) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
+	ctx, stop := context.WithCancel(context.Background())
+	Reset(func() { stop(); target.Close() })
+	body, _ := json.Marshal(agent.Announcement{Service: "shop", Address: strings.TrimPrefix(target.URL, "http://"), State: state})
+	go func() {
+		for ctx.Err() == nil {
+			response, err := http.Post("http://"+n.call+"/target/announce", "application/json", bytes.NewReader(body))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Second):
+			}
+		}
+	}()
+}
+
+// ctl runs gypsumctl and returns its exit status and all that it prints.
+func ctl(variables map[string]string, args ...string) (int, string) {
+	var out bytes.Buffer
+	env := &command.Env{
+		Program: "gypsumctl", Stdin: strings.NewReader(""), Stdout: &out, Stderr: &out,
+		Getenv: func(name string) string { return variables[name] },
+	}
+	return command.Main(context.Background(), env, All(), args), out.String()
+}
+
+// until repeats a command until its output has the text.
+func until(variables map[string]string, text string, args ...string) string {
+	deadline := time.Now().Add(settleTimeout)
+	for {
+		_, out := ctl(variables, args...)
+		if strings.Contains(out, text) || time.Now().After(deadline) {
+			return out
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestAgainstNodes runs the verbs against two nodes and a platform in memory.
+func TestAgainstNodes(t *testing.T) {
+	Convey("An operator puts an inventory in force, looks at the fleet, follows a request and drains a target", t, func() {
+		store := httptest.NewServer(&memoryPlatform{objects: map[string]platform.Object{}})
+		Reset(store.Close)
+		first := startNode(t, store.URL)
+		second := startNode(t, store.URL, first.peer)
+		variables := map[string]string{"GYPSUM_PLATFORM": store.URL, "GYPSUM_NODE": first.peer}
+		So(until(variables, "nodes 2, answering 2", "status"), ShouldContainSubstring, "none in force")
+
+		file := filepath.Join(t.TempDir(), "inventory.yaml")
+		So(os.WriteFile(file, []byte(nodesInventory), 0o600), ShouldBeNil)
+		status, out := ctl(variables, "apply", "-wait", "-timeout", settleTimeout.String(), file)
+		So(out, ShouldContainSubstring, "version 1 is in force on all 2 nodes")
+		So(status, ShouldEqual, command.ExitDone)
+
+		second.announce("ready")
+		So(until(variables, "ready", "status", "-service", "shop"), ShouldContainSubstring, "version 1 in force")
+		request, _ := http.NewRequest(http.MethodGet, "http://"+first.call+"/call/shop/look", nil)
+		request.Header.Set("Gypsum-Request-Id", "request-1")
+		response, err := http.DefaultClient.Do(request)
+		So(err, ShouldBeNil)
+		_ = response.Body.Close()
+		So(response.StatusCode, ShouldEqual, http.StatusOK)
+
+		status, out = ctl(variables, "timeline", "-request", "request-1")
+		So(status, ShouldEqual, command.ExitDone)
+		So(out, ShouldContainSubstring, "received")
+		So(out, ShouldContainSubstring, "completed")
+
+		_, out = ctl(variables, "drain", "-wait", second.peer)
+		So(out, ShouldContainSubstring, "is draining, 0 calls run")
+		So(until(variables, "draining", "status"), ShouldContainSubstring, "draining")
+	})
+}
