Count failed requests in the latency percentiles

Change: p50 and p99 count all requests that were not refused; a failed one counts with the time that its caller waited.

--- a/standin/bench/measure.go
+++ b/standin/bench/measure.go
@@ -61,9 +61,9 @@
 	case scenario.MeasureRefused:
 		return r.share(m, isRefused)
 	case scenario.MeasureP50:
-		return r.latency(m, 50, isWhole)
+		return r.latency(m, 50, isAnswered)
 	case scenario.MeasureP99:
-		return r.latency(m, 99, isWhole)
+		return r.latency(m, 99, isAnswered)
 	case scenario.MeasureShortP99:
 		return r.latency(m, 99, r.isShort())
 	case scenario.MeasureWasted:
@@ -162,7 +162,13 @@
 	return ratio(float64(r.countStarted(m, counts)), float64(r.countStarted(m, anyRecord)))
 }
 
-// isShort returns the filter of whole requests none of whose runs straggled.
+// isAnswered reports whether the request was sent and not refused. One that
+// failed counts with the time that its caller waited in vain.
+func isAnswered(record *load.Record) bool {
+	return !isRefused(record) && record.Result() != load.Unsent
+}
+
+// isShort returns the filter of answered requests none of whose runs straggled.
 func (r *Result) isShort() func(*load.Record) bool {
 	straggled := map[string]bool{}
 	for _, run := range r.Runs {
@@ -176,7 +182,7 @@
 				return false
 			}
 		}
-		return isWhole(record)
+		return isAnswered(record)
 	}
 }
 
--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -84,7 +84,7 @@
 			_, _ = fmt.Fprintf(table, "  %s\t%s\t%.1f\t%.1f\t%.2f%%\t%.2f%%\t%.2f%%\t%.1f\t%.1f\n", phase.Name, class,
 				r.perSecond(m, r.countStarted(m, anyRecord)), r.perSecond(m, r.countEnded(m, isWhole)),
 				100*r.share(m, (*load.Record).FirstAsk), 100*refused,
-				100*(1-refused-r.share(m, isWhole)), r.latency(m, 50, isWhole), r.latency(m, 99, isWhole))
+				100*(1-refused-r.share(m, isWhole)), r.latency(m, 50, isAnswered), r.latency(m, 99, isAnswered))
 		}
 	}
 	_ = table.Flush()
--- a/standin/scenario/measure.go
+++ b/standin/scenario/measure.go
@@ -12,7 +12,7 @@
 	MeasureFirstAsk    = "first-ask"   // share of requests that were whole at the first ask
 	MeasureWhole       = "whole"       // share of requests that were whole
 	MeasureRefused     = "refused"     // share of requests that ended refused
-	MeasureP50         = "p50"         // latency of whole requests, ms
+	MeasureP50         = "p50"         // time of requests that were not refused, ms
 	MeasureP99         = "p99"
 	MeasureShortP99    = "short-p99"  // the same of those without a straggler among their runs
 	MeasureWasted      = "wasted"     // share of slot time spent on asks that were not whole
