--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -88,7 +88,11 @@
 		}
 	}
 	_ = table.Flush()
-	_, _ = fmt.Fprintf(w, "  results of asks: %s\n", strings.Join(r.askCounts(), ", "))
+	for _, class := range r.Scenario.Classes {
+		if counts := r.askCounts(class); len(counts) > 0 {
+			_, _ = fmt.Fprintf(w, "  asks of %s: %s\n", class, strings.Join(counts, ", "))
+		}
+	}
 	if r.Late > maxLate {
 		_, _ = fmt.Fprintf(w, "  The load source was itself a bottleneck: %.1f%% of requests were sent late.\n", 100*r.Late)
 	}
@@ -97,10 +101,13 @@
 	}
 }
 
-// askCounts returns the results of all asks, refusals by reason.
-func (r *Result) askCounts() []string {
+// askCounts returns the results of a class's asks, refusals by reason.
+func (r *Result) askCounts(class string) []string {
 	counts := map[string]int{}
 	for _, record := range r.Records {
+		if record.Stream.Class != class {
+			continue
+		}
 		for _, ask := range record.Asks {
 			name := ask.Result.String()
 			if ask.Reason != "" {
