--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -39,6 +39,8 @@
 	Directory string // for logs and journals, emptied first
 	Plain     bool   // without the layer
 	Out       io.Writer
+	Gypsumctl string // path of the operators' client, for the time line
+	TimeLine  string // file that the time line's page is written to; none if empty
 }
 
 // Result is what one run gave.
@@ -68,10 +70,7 @@
 	if err := f.start(ctx); err != nil {
 		return nil, err
 	}
-	source := load.NewSource(f.loadSettings(options))
-	if progress := options.Out; progress != nil {
-		source = withProgress(f, options)
-	}
+	source := newSource(f, options)
 	result := &Result{Scenario: s, Plain: options.Plain, Start: time.Now().Add(100 * time.Millisecond)}
 	actionsCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -84,6 +83,9 @@
 	<-done
 	result.Late = source.Late()
 	result.Died = f.diedProcesses()
+	if err := f.writeTimeLine(ctx); err != nil {
+		return nil, err
+	}
 	f.finish()
 	f.stop()
 	if err := ctx.Err(); err != nil {
@@ -93,15 +95,18 @@
 	return result, err
 }
 
-// withProgress returns a source that prints a line each second.
-func withProgress(f *fleet, options Options) *load.Source {
+// newSource returns the load source, which prints a line each second if
+// progress is wanted.
+func newSource(f *fleet, options Options) *load.Source {
 	settings := f.loadSettings(options)
 	var source *load.Source
 	before := map[string]load.Counts{}
-	settings.Progress = func(at time.Duration) {
-		now := source.Counts()
-		_, _ = fmt.Fprintln(options.Out, progressLine(f.scenario, at, before, now, f.noted()))
-		before = now
+	if options.Out != nil {
+		settings.Progress = func(at time.Duration) {
+			now := source.Counts()
+			_, _ = fmt.Fprintln(options.Out, progressLine(f.scenario, at, before, now, f.noted()))
+			before = now
+		}
 	}
 	source = load.NewSource(settings)
 	return source
--- a/standin/cmd/standin/run.go
+++ b/standin/cmd/standin/run.go
@@ -16,19 +16,23 @@
 
 // runFlags are the flags of the verbs that run scenarios.
 type runFlags struct {
-	gypsumd string
-	out     string
-	only    string
-	verbose bool
+	gypsumd   string
+	gypsumctl string
+	out       string
+	only      string
+	verbose   bool
+	timeLine  bool
 }
 
 func parseRunFlags(verb string, args []string) (runFlags, []string) {
 	var f runFlags
 	flags := flag.NewFlagSet(verb, flag.ExitOnError)
 	flags.StringVar(&f.gypsumd, "gypsumd", "bin/gypsumd", "path of the daemon")
+	flags.StringVar(&f.gypsumctl, "gypsumctl", "bin/gypsumctl", "path of the operators' client")
 	flags.StringVar(&f.out, "out", "out", "directory for logs, journals and bench.json")
 	flags.StringVar(&f.only, "only", "", "run only with or only without the layer: with, without")
-	flags.BoolVar(&f.verbose, "v", false, "print a line each second, and tables")
+	flags.BoolVar(&f.verbose, "v", false, "print a line each second")
+	flags.BoolVar(&f.timeLine, "timeline", verb == "demo", "write the time line's page of the run with the layer")
 	_ = flags.Parse(args)
 	return f, flags.Args()
 }
@@ -101,11 +105,18 @@
 		options.Out = stdout
 		_, _ = fmt.Fprintf(stdout, "%s, %s\n", s.Name, title)
 	}
+	if flags.timeLine && !plain {
+		options.Gypsumctl = flags.gypsumctl
+		options.TimeLine = filepath.Join(flags.out, "timeline.html")
+	}
 	result, err := bench.Run(ctx, s, options)
 	if err != nil {
 		return nil, err
 	}
 	bench.PrintTable(stdout, title, result)
+	if options.TimeLine != "" {
+		_, _ = fmt.Fprintf(stdout, "  time line: %s\n", options.TimeLine)
+	}
 	return result, nil
 }
 
