--- a/admission/queue.go
+++ b/admission/queue.go
@@ -25,10 +25,12 @@
 	index   map[TicketID]int32
 	lanes   [2]lane
 
+	waiting     classCounts // by class
 	running     int
 	longRunning int
 	draining    bool
 
+	created   time.Time
 	lastTick  time.Time
 	lastBusy  time.Time
 	busy      float64 // seconds of running calls since the last tick
@@ -46,6 +48,7 @@
 		callers:    newCallers(cfg.Callers),
 		operations: newOperations(),
 		index:      make(map[TicketID]int32),
+		created:    now,
 		lastTick:   now,
 		lastBusy:   now,
 	}
@@ -65,35 +68,54 @@
 		return q.refuse(now, id, a.Priority, call.ReasonDraining, out)
 	}
 	operation := q.operations.find(a.Operation)
-	expiry, byDeadline := q.latestStart(now, a.Deadline, operation)
-	if expiry.Before(now) {
+	learned := &q.operations.list[operation]
+	latest := latestStart(a.Deadline, learned)
+	if late(now, latest) {
 		return q.refuse(now, id, a.Priority, call.ReasonDeadline, out)
 	}
 	index := q.take(ticket{
-		id: id, key: caller.order(a.Priority), priority: a.Priority,
+		id: id, priority: a.Priority, caller: caller,
+		start: q.startOrder(now, a.Priority), refuse: caller.refusalOrder(a.Priority),
 		operation: operation, state: ticketQueued,
-		long:   q.operations.long(operation, q.cfg.LongFactor),
-		expiry: expiry, deadline: byDeadline,
+		long:    q.operations.long(operation, q.cfg.LongFactor),
+		arrived: now, latest: latest,
+		patience: max(q.cfg.MaxWait, learned.usualWait()),
 	})
-	q.laneOf(index).push(q.tickets, index)
+	if q.startsAtOnce(index) {
+		return q.start(now, index, out)
+	}
+	q.enqueue(index)
 	out = q.startReady(now, out)
 	return q.displace(now, out)
 }
 
-// latestStart returns when the call must have been started, and whether its
-// deadline is the cause.
-func (q *Queue) latestStart(now, deadline time.Time, operation int32) (time.Time, bool) {
-	latest := now.Add(q.cfg.MaxWait)
-	if deadline.IsZero() {
-		return latest, false
+// startsAtOnce reports whether a new call finds a free slot and nobody waiting.
+func (q *Queue) startsAtOnce(index int32) bool {
+	if q.queued() > 0 || q.running >= q.limit.limit() {
+		return false
 	}
-	needed := q.operations.list[operation].least()
-	if met := deadline.Add(-needed); met.Before(latest) {
-		return met, true
+	return !q.tickets[index].long || q.longRunning < q.longLimit()
+}
+
+// startOrder returns the call's place among the waiting calls: its time of
+// arrival, put back by its class. So important calls go first, but no call that
+// the level admits is passed over for long.
+func (q *Queue) startOrder(now time.Time, p call.Priority) int64 {
+	return int64(now.Sub(q.created)) + int64(p.Class())*int64(classLead)
+}
+
+// latestStart returns when a call must have been started to meet its deadline,
+// or the zero time if it has none.
+func latestStart(deadline time.Time, learned *operation) time.Time {
+	if deadline.IsZero() {
+		return deadline
 	}
-	return latest, false
+	return deadline.Add(-learned.least())
 }
 
+// late reports whether the latest start has passed.
+func late(now, latest time.Time) bool { return !latest.IsZero() && latest.Before(now) }
+
 // Finish takes note that a started call ended, and appends the verdicts on the
 // calls that its slot lets start.
 func (q *Queue) Finish(now time.Time, id TicketID, r Result, out []Verdict) []Verdict {
@@ -144,7 +166,7 @@
 		return out
 	}
 	q.stats.Cancelled++
-	q.laneOf(index).remove(q.tickets, index)
+	q.dequeue(index)
 	q.release(index)
 	return out
 }
@@ -163,13 +185,14 @@
 	q.operations.fade(now)
 	q.limit.tick(now, elapsed, q.completed, q.busy)
 	q.control.observe(elapsed, q.completed, q.busy)
+	q.control.observeIdle(elapsed, q.busy, q.limit.limit(), q.queued())
 	q.control.aim(&q.cfg, q.limit.limit())
 	for _, caller := range q.callers.list {
 		for class := range caller.flows {
 			caller.flows[class].tick(elapsed.Seconds())
 		}
 	}
-	q.control.levels(now, &q.cfg, q.callers.list, q.limit.limit(), q.queued(), q.pressed)
+	q.control.levels(now, &q.cfg, q.callers.list, q.limit.limit(), &q.waiting, q.pressed)
 	q.completed = 0
 	q.busy = 0
 	q.pressed = false
@@ -214,10 +237,21 @@
 	return &q.lanes[laneShort]
 }
 
+// enqueue and dequeue keep the lanes and the counts of waiting calls in step.
+func (q *Queue) enqueue(index int32) {
+	q.laneOf(index).push(q.tickets, index)
+	q.waiting[classOf(q.tickets[index].priority)]++
+}
+
+func (q *Queue) dequeue(index int32) {
+	q.laneOf(index).remove(q.tickets, index)
+	q.waiting[classOf(q.tickets[index].priority)]--
+}
+
 // capacity returns how many calls may wait: several times the queue that the
 // level control aims at, so that it has time to act.
 func (q *Queue) capacity() int {
-	wanted := max(4*q.control.goal, float64(2*q.limit.limit()), 8)
+	wanted := max(3*q.control.goal, float64(q.limit.limit()), 8)
 	return min(int(wanted), MaxQueued)
 }
 
@@ -236,10 +270,11 @@
 		if !ok {
 			return out
 		}
-		if q.tickets[index].expiry.Before(now) {
-			out = q.drop(now, index, q.expiryReason(index), out)
+		if late(now, q.tickets[index].latest) {
+			out = q.drop(now, index, call.ReasonDeadline, out)
 			continue
 		}
+		q.dequeue(index)
 		out = q.start(now, index, out)
 	}
 	return out
@@ -270,9 +305,9 @@
 	return max(1, limit-limit*q.cfg.KeptPercent/100)
 }
 
+// start hands a call that is in no lane to the target.
 func (q *Queue) start(now time.Time, index int32, out []Verdict) []Verdict {
 	t := &q.tickets[index]
-	q.laneOf(index).remove(q.tickets, index)
 	q.addBusy(now)
 	t.state = ticketRunning
 	t.started = now
@@ -309,27 +344,21 @@
 	return b
 }
 
-// expire refuses the waiting calls whose latest start has passed.
+// expire refuses the waiting calls that are late or have waited too long.
 func (q *Queue) expire(now time.Time, out []Verdict) []Verdict {
 	for lane := range q.lanes {
 		heap := q.lanes[lane].heaps[sideBest]
+		// A removal may move an unchecked call behind at; the next tick finds it.
 		for at := len(heap) - 1; at >= 0; at-- {
-			// A removal moves only tickets from behind at, which were checked.
-			if index := heap[at]; q.tickets[index].expiry.Before(now) {
-				out = q.drop(now, index, q.expiryReason(index), out)
+			index := heap[at]
+			if reason := q.tickets[index].lapsed(now); reason != call.NoReason {
+				out = q.drop(now, index, reason, out)
 			}
 		}
 	}
 	return out
 }
 
-func (q *Queue) expiryReason(index int32) call.Reason {
-	if q.tickets[index].deadline {
-		return call.ReasonDeadline
-	}
-	return call.ReasonOverload
-}
-
 // markLong counts running calls that have outrun the usual service time as long.
 func (q *Queue) markLong(now time.Time) {
 	bound := q.cfg.LongFactor * q.operations.usual
@@ -348,7 +377,7 @@
 // drop refuses a waiting call.
 func (q *Queue) drop(now time.Time, index int32, reason call.Reason, out []Verdict) []Verdict {
 	t := q.tickets[index]
-	q.laneOf(index).remove(q.tickets, index)
+	q.dequeue(index)
 	q.release(index)
 	if reason == call.ReasonOverload {
 		q.pressed = true
--- a/routing/target.go
+++ b/routing/target.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gypsumford/gypsumford/call"
@@ -15,9 +16,10 @@
 	slowUntil     = 1.4                    // slowness below which it is back
 	probeGain     = 0.5                    // weight of the answer to a probe
 	slownessFloor = 1.5                    // slowness that makes no difference
-	slowProbeMin  = 250 * time.Millisecond // time between two probes of a slow instance
-	slowProbeMax  = 4 * time.Second
-	stallRatio    = 3.0 // usual latencies without an answer that count as slow
+	slowProbeMin  = 250 * time.Millisecond // least time between two probes of a slow instance
+	slowProbeMax  = 4 * time.Second        // most time between them
+	slowProbeCall = 400                    // calls to the service between them, unless the most time has passed
+	stallRatio    = 3.0                    // usual latencies without an answer that count as slow
 	ejectMin      = 100 * time.Millisecond
 	ejectMax      = 5 * time.Second
 	feedbackHolds = 500 * time.Millisecond // age up to which an answer's load counts
@@ -34,8 +36,8 @@
 
 	slowness  float64 // latency against the usual one, smoothed
 	slow      bool
-	probeAt   time.Time // earliest next probe while slow
-	probeWait time.Duration
+	probed    time.Time // last probe while slow
+	probeFrom uint64    // calls to the service from which the next probe may be sent
 
 	failures  int // failed connections in a row
 	ejected   time.Time
@@ -47,40 +49,77 @@
 	sentBefore int // own calls in flight when the feedback came
 }
 
+// drains reports whether the instance lately said that it leaves.
+func (t *target) drains(now time.Time) bool {
+	return !t.draining.IsZero() && now.Sub(t.draining) < drainingHolds
+}
+
+// usable reports whether the instance can take a call, even if slowly.
+func (t *target) usable(now time.Time, exclude []fleet.InstanceID) bool {
+	return t.failures == 0 && !t.drains(now) && !slices.Contains(exclude, t.instance.ID)
+}
+
 // available reports whether the instance may be drawn.
 func (t *target) available(now time.Time) bool {
-	if !t.draining.IsZero() && now.Sub(t.draining) < drainingHolds {
+	if t.drains(now) {
 		return false
 	}
 	if t.failures > 0 {
 		return !now.Before(t.ejected) && t.inFlight == 0
 	}
 	if t.slow {
-		return !now.Before(t.probeAt) && t.inFlight == 0
+		return t.inFlight == 0 && t.probeDue(now)
 	}
 	return true
 }
 
-// slots returns the calls that the instance runs at once, at least 1.
-func (t *target) slots(now time.Time) float64 {
+// probing reports whether a call to the instance is a probe. One that is drawn
+// while it is set aside is due to get one.
+func (t *target) probing() bool { return t.slow || t.failures > 0 }
+
+// probeDue reports whether a slow instance may get a call to see if it is back.
+func (t *target) probeDue(now time.Time) bool {
+	passed := now.Sub(t.probed)
+	if passed < slowProbeMin {
+		return false
+	}
+	return t.service.begun >= t.probeFrom || passed >= slowProbeMax
+}
+
+// view is what an instance is judged by at one moment.
+type view struct {
+	load  float64 // calls that it is thought to hold
+	slots float64 // calls that it runs at once, at least 1
+	delay float64 // latency to expect against the usual one
+}
+
+// view judges the instance.
+func (t *target) view(now time.Time) view {
 	slots := t.instance.Slots
 	if slots == 0 {
 		slots = t.service.config.Slots
 	}
+	load := t.inFlight
 	if t.feedback.Limit > 0 && now.Sub(t.feedbackAt) < feedbackHolds {
 		slots = t.feedback.Limit
+		told := t.feedback.Running + t.feedback.Queued + t.inFlight - t.sentBefore
+		load = max(load, told)
+	}
+	return view{
+		load:  float64(load),
+		slots: max(float64(slots)*t.warmth(now), 1),
+		delay: t.delayRatio(now),
 	}
-	return max(float64(slots)*t.warmth(now), 1)
 }
 
-// load returns the calls that the instance is thought to hold.
-func (t *target) load(now time.Time) float64 {
-	own := t.inFlight
-	if t.feedback.Limit == 0 || now.Sub(t.feedbackAt) >= feedbackHolds {
-		return float64(own)
-	}
-	told := t.feedback.Running + t.feedback.Queued + own - t.sentBefore
-	return float64(max(own, told))
+// hasRoom reports whether a further call would find a free slot.
+func (v view) hasRoom() bool { return v.load+1 <= v.slots && v.delay <= slowFrom }
+
+// cost ranks instances; lower is better. It is the expected latency, with the
+// used part of the slots to tell equals apart.
+func (v view) cost() float64 {
+	used := (v.load + 1) / v.slots
+	return v.delay*max(1, used) + used
 }
 
 // warmth returns the share that a new instance may have, 1 for a warm one.
@@ -97,11 +136,6 @@
 	return max(part, rampFloor)
 }
 
-// hasRoom reports whether a further call would find a free slot.
-func (t *target) hasRoom(now time.Time) bool {
-	return t.load(now)+1 <= t.slots(now) && t.delayRatio(now) <= slowFrom
-}
-
 // delayRatio returns the latency to expect against the usual one.
 func (t *target) delayRatio(now time.Time) float64 {
 	ratio := t.slowness
@@ -118,13 +152,6 @@
 	return ratio
 }
 
-// cost ranks an instance; lower is better. It is the expected latency, with the
-// used part of the slots to tell equals apart.
-func (t *target) cost(now time.Time) float64 {
-	used := (t.load(now) + 1) / t.slots(now)
-	return t.delayRatio(now)*max(1, used) + used
-}
-
 // begin counts a call that is sent.
 func (t *target) begin(now time.Time) {
 	if t.inFlight == 0 {
@@ -132,11 +159,16 @@
 	}
 	t.inFlight++
 	if t.slow {
-		t.probeWait = min(max(2*t.probeWait, slowProbeMin), slowProbeMax)
-		t.probeAt = now.Add(t.probeWait)
+		t.nextProbe(now, slowProbeCall)
 	}
 }
 
+// nextProbe puts the next probe of a slow instance off.
+func (t *target) nextProbe(now time.Time, calls uint64) {
+	t.probed = now
+	t.probeFrom = t.service.begun + calls
+}
+
 // end takes what came of a call.
 func (t *target) end(now time.Time, s Sample, ratio float64) {
 	t.inFlight = max(t.inFlight-1, 0)
@@ -164,10 +196,13 @@
 	switch {
 	case !t.slow && t.slowness >= slowFrom:
 		t.slow = true
-		t.probeWait = slowProbeMin
-		t.probeAt = now.Add(t.probeWait)
+		t.service.slow++
+		t.nextProbe(now, slowProbeCall)
 	case t.slow && t.slowness <= slowUntil:
 		t.slow = false
+		t.service.slow--
+	case t.slow && ratio < slowUntil:
+		t.probeFrom = 0 // it seems to be back, so it is soon probed again
 	}
 }
 
--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -84,11 +84,15 @@
 			_, _ = fmt.Fprintf(table, "  %s\t%s\t%.1f\t%.1f\t%.2f%%\t%.2f%%\t%.2f%%\t%.1f\t%.1f\n", phase.Name, class,
 				r.perSecond(m, r.countStarted(m, anyRecord)), r.perSecond(m, r.countEnded(m, isWhole)),
 				100*r.share(m, (*load.Record).FirstAsk), 100*refused,
-				100*(1-refused-r.share(m, isWhole)), r.latency(m, 50, isWhole), r.latency(m, 99, isWhole))
+				100*(1-refused-r.share(m, isWhole)), r.latency(m, 50, isAnswered), r.latency(m, 99, isAnswered))
 		}
 	}
 	_ = table.Flush()
-	_, _ = fmt.Fprintf(w, "  results of asks: %s\n", strings.Join(r.askCounts(), ", "))
+	for _, class := range r.Scenario.Classes {
+		if counts := r.askCounts(class); len(counts) > 0 {
+			_, _ = fmt.Fprintf(w, "  asks of %s: %s\n", class, strings.Join(counts, ", "))
+		}
+	}
 	if r.Late > maxLate {
 		_, _ = fmt.Fprintf(w, "  The load source was itself a bottleneck: %.1f%% of requests were sent late.\n", 100*r.Late)
 	}
@@ -97,10 +101,13 @@
 	}
 }
 
-// askCounts returns the results of all asks, refusals by reason.
-func (r *Result) askCounts() []string {
+// askCounts returns the results of a class's asks, refusals by reason.
+func (r *Result) askCounts(class string) []string {
 	counts := map[string]int{}
 	for _, record := range r.Records {
+		if record.Stream.Class != class {
+			continue
+		}
 		for _, ask := range record.Asks {
 			name := ask.Result.String()
 			if ask.Reason != "" {
