--- a/membership/membershiptest/fleet.go
+++ b/membership/membershiptest/fleet.go
@@ -108,7 +108,7 @@
 	domain := i % max(1, f.options.Domains)
 	region := domain % max(1, f.options.Regions)
 	return fleet.Instance{
-		ID:            fleet.InstanceID(fmt.Sprintf("i%05d-%04d", i, f.restarts)),
+		ID:            fleet.InstanceID(fmt.Sprintf("%08d-%04d-7000-8000-000000000000", i, f.restarts)),
 		PeerAddress:   fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255),
 		FailureDomain: fleet.FailureDomain(fmt.Sprintf("d%02d", domain)),
 		Region:        fleet.Region(fmt.Sprintf("r%02d", region)),
--- a/membership/membershiptest/view.go
+++ b/membership/membershiptest/view.go
@@ -55,3 +55,18 @@
 	}
 	return count
 }
+
+// Knowing counts the active nodes that hold exactly live members for live.
+func (f *Fleet) Knowing(live int) (yes, no int) {
+	for _, n := range f.Nodes {
+		if !n.active() {
+			continue
+		}
+		if n.Members.Len() == live {
+			yes++
+		} else {
+			no++
+		}
+	}
+	return yes, no
+}
