Membership: nodes that know nobody look for a peer again; islands meet through a seed object of the fleet

Alone tells the daemon to join again. And nodes that started at the same time formed one island a failure domain, whose seed objects never met; the seed object of the whole fleet is held by one node of each island. Young nodes refresh earlier.

--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/membership"
 	"github.com/gypsumford/gypsumford/membership/membershiptest"
 )
 
@@ -57,6 +58,7 @@
 	m.f.Loss = 0.05
 	m.f.Duplicate = 0.02
 	m.f.Late = 0.2
+	m.f.SeedObjects = true
 	m.f.Jitter = 40 * time.Millisecond
 	m.f.Check = func(document []byte) error {
 		if string(document) == "bad" {
@@ -309,6 +311,9 @@
 		}
 	}
 	m.f.Run(60 * time.Second)
+	if m.islands() {
+		m.f.Run(membership.SeedRefresh) // then they meet through the seed objects
+	}
 	m.check(t)
 	for _, n := range m.f.Nodes {
 		if !n.Running {
@@ -321,6 +326,18 @@
 	}
 }
 
+// islands reports whether a node has no record of another one that runs.
+func (m *machine) islands() bool {
+	for _, n := range m.f.Nodes {
+		for _, other := range m.f.Nodes {
+			if _, known := n.Members.Get(other.Instance.ID); n.Running && other.Running && !known {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (m *machine) checkTruth(t *rapid.T, n *membershiptest.Node) {
 	live := 0
 	for _, other := range m.f.Nodes {
--- a/membership/membershiptest/fleet.go
+++ b/membership/membershiptest/fleet.go
@@ -13,9 +13,8 @@
 const (
 	wheelMs      = 8192
 	tickMs       = int(membership.TickInterval / time.Millisecond)
-	platformMs   = 5    // delay of a read of the platform
-	joinRetryMs  = 1000 // between two tries of a new node to join
-	joinAttempts = 30
+	platformMs   = 5           // delay of a read of the platform
+	joinRetry    = time.Second // between two tries of a node to join
 	startUpPeers = 3
 	lateLimitMs  = 4000
 )
@@ -48,6 +47,8 @@
 	// Loss and Duplicate are shares of the datagrams.
 	Loss      float64
 	Duplicate float64
+	// SeedObjects has the nodes keep the seed objects.
+	SeedObjects bool
 	// Late is a share of the answers with a configuration that take up to 4 s longer.
 	Late float64
 	// Cut reports whether nothing passes between two nodes; nil for never.
@@ -74,6 +75,7 @@
 		rng:       rand.New(rand.NewPCG(o.Seed, 1)),
 		events:    newWheel(wheelMs),
 		byAddress: map[string]int{},
+		Platform:  Platform{seeds: map[string][]byte{}},
 	}
 	instances := make([]fleet.Instance, o.Nodes)
 	for i := range instances {
@@ -96,10 +98,7 @@
 			f.Nodes[i].Rollout.SetFleetSize(o.Nodes)
 			continue
 		}
-		if i > 0 {
-			f.Nodes[i].starting = true
-			f.join(f.Nodes[i].Members, i, i, joinAttempts)
-		}
+		f.Nodes[i].starting = true
 	}
 	return f
 }
@@ -124,6 +123,7 @@
 	n.Running = true
 	n.Paused = false
 	n.reading = false
+	n.joinAfter = f.Now
 	n.buffered = nil
 	seed := f.rng.Uint64()
 	if base != nil {
@@ -233,8 +233,10 @@
 			f.exchange(n.Members, n.index, peer)
 		}
 	}
+	f.join(n)
 	f.watch(n)
 	f.startUp(n)
+	f.refreshSeeds(n)
 	for _, pull := range n.Rollout.Tick(f.Now) {
 		f.pull(n, pull)
 	}
--- a/membership/membershiptest/lifecycle.go
+++ b/membership/membershiptest/lifecycle.go
@@ -37,21 +37,34 @@
 	f.restarts++
 	f.start(i, f.instance(i), nil)
 	f.Nodes[i].starting = true
-	f.join(f.Nodes[i].Members, i, len(f.Nodes), joinAttempts)
 }
 
-// join exchanges tables with a random running node among the first ones, and again
-// with another one until the table holds others.
-func (f *Fleet) join(table *membership.Table, i, first, attempts int) {
-	n := f.Nodes[i]
-	if n.Members != table || !n.Running || table.Len() > 1 || attempts == 0 {
+// join exchanges tables with a random node while the table knows nobody else.
+func (f *Fleet) join(n *Node) {
+	if n.joinAfter.After(f.Now) || !n.Members.Alone(f.Now) {
 		return
 	}
-	peer := f.rng.IntN(first)
-	if peer != i && f.Nodes[peer].active() {
-		f.exchange(table, i, peer)
+	n.joinAfter = f.Now.Add(joinRetry)
+	peer, ok := f.candidate(n)
+	if ok && peer != n.index && f.Nodes[peer].active() {
+		f.exchange(n.Members, n.index, peer)
+	}
+}
+
+// candidate returns a node to join through: one of the seed objects, or any one if
+// there are none or the platform is down.
+func (f *Fleet) candidate(n *Node) (int, bool) {
+	if !f.SeedObjects || f.Platform.Down {
+		return f.rng.IntN(len(f.Nodes)), true
+	}
+	keys := membership.SeedKeys(n.Instance.FailureDomain)
+	f.Platform.Calls++
+	addresses, err := membership.DecodeSeed(f.Platform.seeds[keys[f.rng.IntN(len(keys))]])
+	if err != nil || len(addresses) == 0 {
+		return 0, false
 	}
-	f.events.add(joinRetryMs, event{call: func() { f.join(table, i, first, attempts-1) }})
+	peer, ok := f.byAddress[addresses[f.rng.IntN(len(addresses))]]
+	return peer, ok
 }
 
 // exchange swaps whole tables, like twirp's ExchangeMembers.
--- a/membership/membershiptest/node.go
+++ b/membership/membershiptest/node.go
@@ -30,10 +30,11 @@
 	Accepted time.Time // when the version in force was taken
 	Changes  int       // of members, seen since the start
 
-	index    int
-	buffered []datagram
-	reading  bool // a read of the platform is under way
-	starting bool // the node asks peers for their configuration until it is ready
+	index     int
+	joinAfter time.Time
+	buffered  []datagram
+	reading   bool // a read of the platform is under way
+	starting  bool // the node asks peers for their configuration until it is ready
 }
 
 // headerBytes is what IP and UDP add to a datagram.
--- a/membership/membershiptest/platform.go
+++ b/membership/membershiptest/platform.go
@@ -6,6 +6,8 @@
 	Version  uint64
 	Document []byte
 	Calls    int // reads that were answered or refused
+
+	seeds map[string][]byte
 }
 
 // Put stores a new document and returns its version.
--- /dev/null
+++ b/membership/membershiptest/seeds.go
@@ -0,0 +1,24 @@
+package membershiptest
+
+import (
+	"github.com/gypsumford/gypsumford/membership"
+)
+
+// refreshSeeds writes the seed objects that the node holds, and meets the nodes in
+// them that it doesn't know.
+func (f *Fleet) refreshSeeds(n *Node) {
+	if f.Platform.Down || !f.SeedObjects {
+		return
+	}
+	for _, write := range n.Members.SeedWrites(f.Now) {
+		f.Platform.Calls += 2
+		addresses, _ := membership.DecodeSeed(f.Platform.seeds[write.Key])
+		for _, address := range addresses {
+			if peer, ok := f.byAddress[address]; ok && !n.Members.Knows(address) && f.Nodes[peer].active() {
+				f.exchange(n.Members, n.index, peer)
+			}
+		}
+		f.Platform.seeds[write.Key] = write.Value
+		n.Members.SeedWritten(f.Now, write.Key)
+	}
+}
--- a/membership/seeds.go
+++ b/membership/seeds.go
@@ -15,26 +15,33 @@
 // SeedSlots is the number of seed objects of a failure domain.
 const SeedSlots = 2
 
-// SeedRefresh is the time after which a seed object is written anew.
+// SeedRefresh is the time after which a seed object is written anew. A node that
+// started less than that ago refreshes earlier: after as long as it runs.
 const SeedRefresh = 10 * time.Minute
 
 const (
-	seedRetry     = 10 * time.Second // after a write that failed
-	seedAddresses = 8                // in one object
-	maxSeedBytes  = 4096
+	minSeedRefresh = 5 * time.Second
+	seedRetry      = 10 * time.Second // after a write that failed, and between two looks at who is the holder
+	seedAddresses  = 8                // in one object
+	maxSeedBytes   = 4096
 )
 
 // SeedPrefix begins the keys of all seed objects on the platform.
 const SeedPrefix = "seeds/"
 
-// SeedKeys returns the keys of a failure domain's seed objects. A new node reads
-// these first and then, if no address in them answers, those under SeedPrefix.
+// fleetSeedKey is the seed object of the whole fleet. Parts of the fleet that don't
+// know each other meet through it.
+const fleetSeedKey = SeedPrefix + "0"
+
+// SeedKeys returns the keys of the seed objects that concern a failure domain: its
+// own, and that of the whole fleet. A new node reads these first and then, if no
+// address in them answers, those under SeedPrefix.
 func SeedKeys(domain fleet.FailureDomain) []string {
-	keys := make([]string, SeedSlots)
-	for slot := range keys {
-		keys[slot] = SeedPrefix + string(domain) + "/" + strconv.Itoa(slot)
+	keys := make([]string, 0, SeedSlots+1)
+	for slot := range SeedSlots {
+		keys = append(keys, SeedPrefix+string(domain)+"/"+strconv.Itoa(slot))
 	}
-	return keys
+	return append(keys, fleetSeedKey)
 }
 
 // SeedWrite is a seed object that the node should write. The daemon reads it
@@ -47,7 +54,7 @@
 
 // SeedWrites returns the seed objects of which the node is the holder now and
 // whose refresh is due. The holder of an object is the live member of the failure
-// domain with the highest hash of object and member.
+// domain, or of the fleet, with the highest hash of object and member.
 func (t *Table) SeedWrites(now time.Time) []SeedWrite {
 	t.clock(now)
 	var writes []SeedWrite
@@ -56,10 +63,13 @@
 	}
 	for _, key := range SeedKeys(t.self.who.domain) {
 		due, written := t.seeds[key]
-		if written && t.now < due || !t.holds(key) {
+		if written && t.now < due {
 			continue
 		}
 		t.seeds[key] = t.now + seedRetry
+		if !t.holds(key) {
+			continue
+		}
 		writes = append(writes, SeedWrite{Key: key, Value: t.seedValue(now)})
 	}
 	return writes
@@ -68,14 +78,15 @@
 // SeedWritten tells the table that a write of SeedWrites took effect.
 func (t *Table) SeedWritten(now time.Time, key string) {
 	t.clock(now)
-	t.seeds[key] = t.now + SeedRefresh
+	t.seeds[key] = t.now + min(SeedRefresh, max(minSeedRefresh, t.now))
 }
 
 func (t *Table) holds(key string) bool {
 	own := seedWeight(key, t.self.who.ref)
 	highest := true
 	t.members.each(func(r *record) {
-		if r.live() && r.who.domain == t.self.who.domain && seedWeight(key, r.who.ref) > own {
+		concerned := key == fleetSeedKey || r.who.domain == t.self.who.domain
+		if r.live() && concerned && seedWeight(key, r.who.ref) > own {
 			highest = false
 		}
 	})
--- a/membership/table.go
+++ b/membership/table.go
@@ -151,6 +151,14 @@
 	return !paused && !t.catchingUp && !t.isolated()
 }
 
+// Alone reports whether the node knows no other live member, or hears none. The
+// daemon then looks for a peer as at its start: through the seed objects and its
+// settings.
+func (t *Table) Alone(now time.Time) bool {
+	t.clock(now)
+	return t.self.health != left && (t.members.live <= 1 || t.isolated())
+}
+
 // isolated reports whether the silence around the node is longer than any that
 // others' failures explain.
 func (t *Table) isolated() bool {
