--- a/agent/agent.go
+++ b/agent/agent.go
@@ -149,7 +149,7 @@
 	}
 	a.paid = newPaid(a, calls)
 	a.entry = &entry{
-		now: a.now, config: a.inForce, ready: a.ready, draining: a.target.isDraining,
+		now: a.now, config: a.inForce, ready: a.ready, draining: a.target.isDraining, fresh: a.members.fresh,
 		parents: a.parents, levels: levels, attempts: attempts, dispatcher: a.dispatcher,
 		paid: a.paid, ring: a.ring, metrics: a.metrics,
 	}
@@ -164,9 +164,12 @@
 	a.metrics.Gauge("target_limit", func() int64 { return int64(a.delivery.stats().Limit) })
 }
 
-// ready reports whether the node may serve callers.
+// ready reports whether the node has joined and has a configuration in force.
 func (a *Agent) ready() bool { return a.joined.Load() && a.configurations.ready() }
 
+// serving reports whether the node takes new requests of callers.
+func (a *Agent) serving() bool { return a.ready() && a.members.fresh() && !a.target.isDraining() }
+
 func (a *Agent) callAddress() string { return a.callSocket.Addr().String() }
 
 // randomSeed seeds the decisions of one process.
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -51,7 +51,7 @@
 	runs   atomic.Int64
 }
 
-func startNode(t *testing.T, platformURL, service string, handle func(n *testNode, w http.ResponseWriter, r *http.Request)) *testNode {
+func startNode(t testing.TB, platformURL, service string, handle func(n *testNode, w http.ResponseWriter, r *http.Request)) *testNode {
 	t.Helper()
 	set := settings.New("test", func(string) string { return "" })
 	declared := DeclareSettings(set)
@@ -125,7 +125,7 @@
 }
 
 // until waits for a condition that the agents bring about in the background.
-func until(t *testing.T, what string, condition func() (bool, any)) {
+func until(t testing.TB, what string, condition func() (bool, any)) {
 	t.Helper()
 	deadline := time.Now().Add(settleTimeout)
 	for {
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -23,6 +23,7 @@
 	config     *inForce
 	ready      func() bool
 	draining   func() bool
+	fresh      func() bool
 	parents    *parentTable
 	levels     *levelTable
 	attempts   *attemptTable
@@ -64,6 +65,9 @@
 	if e.draining() {
 		return exchange.Refuse(call.ReasonDraining, 0, 0)
 	}
+	if !e.fresh() {
+		return exchange.Refuse(call.ReasonStarting, startingRetryAfter, 0)
+	}
 	timeout := in.fields.Timeout
 	if timeout == 0 {
 		timeout = op.Deadline
--- a/agent/members.go
+++ b/agent/members.go
@@ -178,6 +178,14 @@
 	return m.mu.table.All()
 }
 
+// fresh reports whether what the node knows of the fleet may be acted on: it is
+// not after a pause, until the node has compared its table with another one's.
+func (m *members) fresh() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mu.table.Fresh(m.now())
+}
+
 func (m *members) len() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/agent/operatorserver.go
+++ b/agent/operatorserver.go
@@ -36,7 +36,7 @@
 		FailureDomain: string(a.self.FailureDomain), Region: string(a.self.Region),
 		ConfigVersion: a.inForce.version(), Target: s.target(), Classes: s.classes(),
 		MemberTotal: uint32(a.members.len()), UptimeSeconds: a.now().Sub(a.started).Seconds(),
-		Ready: a.ready() && !a.target.isDraining(),
+		Ready: a.serving(),
 	}
 	if r.WithMembers {
 		reply.Members = s.members(int(r.MemberLimit))
--- a/agent/platform_test.go
+++ b/agent/platform_test.go
@@ -21,7 +21,7 @@
 	down    bool
 }
 
-func newFakePlatform(t *testing.T) (*fakePlatform, string) {
+func newFakePlatform(t testing.TB) (*fakePlatform, string) {
 	f := &fakePlatform{objects: map[string]platform.Object{}}
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
--- a/agent/server.go
+++ b/agent/server.go
@@ -59,7 +59,7 @@
 func handleAlive(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 
 func (a *Agent) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if !a.ready() || a.target.isDraining() {
+	if !a.serving() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -14,6 +15,10 @@
 	"github.com/gypsumford/gypsumford/settings"
 )
 
+// gcPercent lets the small heap of a node grow further between collections than
+// the runtime's default does, which saves processor time on the path of a call.
+const gcPercent = 400
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -25,6 +30,9 @@
 		return set.Report(err, os.Stdout, os.Stderr)
 	}
 	log := logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil))
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	node, err := agent.New(parsed, log)
