admission: search the limit of a target without stated slots in both directions

Cause: go test ./admission -run UnknownSlots -v gave a limit of 18 for a target that does work on 4 calls at once, as the search only went up from 16. Ruled out: a step down judged by one window, whose noise (6% here) exceeds the margin. Now the knee's completions are averaged and a step down may lose half of its size.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -16,6 +16,8 @@
 	searchSamples = 64                     // fewest completions that are compared
 	searchStep    = 1.15                   // factor between two tried limits
 	searchGain    = 0.25                   // part of the step that completions must gain
+	searchLoss    = 0.5                    // part of a step down that completions may lose
+	searchSmooth  = 0.25                   // weight of a window at the knee
 	searchHold    = 20                     // windows that a found knee is kept before it is tried again
 	busyEnough    = 0.9                    // part of the limit in use from which a window counts
 )
@@ -76,11 +78,13 @@
 	}
 }
 
-// search looks for the lowest limit with the most completions.
+// search looks for the lowest limit with the most completions. From the knee
+// that it knows it tries a higher limit, then a lower one, in turn.
 type search struct {
 	knee      float64 // best limit found
 	best      float64 // completions per second at the knee
 	held      int     // windows for which the knee is still kept
+	down      bool    // the next try is below the knee
 	elapsed   time.Duration
 	completed int
 	busy      float64 // seconds of running calls
@@ -111,25 +115,49 @@
 	if inUse < busyEnough*float64(int(present)) {
 		return present // the limit didn't bind, so the window tells nothing
 	}
-	if present > s.knee {
+	if present != s.knee {
 		return s.judge(present, throughput)
 	}
-	s.best = throughput
+	s.smooth(throughput)
 	if s.held > 0 {
 		s.held--
 		return present
 	}
-	return min(searchCeiling, max(present*searchStep, present+1))
+	return s.try()
 }
 
-// judge keeps a raised limit if completions rose with it.
+// try returns the limit to compare with the knee.
+func (s *search) try() float64 {
+	if s.down {
+		return max(1, min(s.knee/searchStep, s.knee-1))
+	}
+	return min(searchCeiling, max(s.knee*searchStep, s.knee+1))
+}
+
+// judge keeps a higher limit if completions rose with it, and a lower one if
+// they hardly fell. Otherwise it returns to the knee and turns round.
 func (s *search) judge(present, throughput float64) float64 {
-	needed := s.best * (1 + (present/s.knee-1)*searchGain)
+	gain := searchGain
+	if s.down {
+		gain = searchLoss
+	}
+	needed := s.best * (1 + (present/s.knee-1)*gain)
 	if throughput < needed {
-		s.held = searchHold
+		if s.down {
+			s.held = searchHold
+		}
+		s.down = !s.down
 		return s.knee
 	}
 	s.knee = present
-	s.best = throughput
-	return min(searchCeiling, max(present*searchStep, present+1))
+	s.smooth(throughput)
+	return s.try()
+}
+
+// smooth takes the completions of one window at the knee.
+func (s *search) smooth(throughput float64) {
+	if s.best == 0 {
+		s.best = throughput
+	}
+	s.best += searchSmooth * (throughput - s.best)
 }
--- a/routing/service.go
+++ b/routing/service.go
@@ -12,7 +12,7 @@
 	hedgeSpread  = 4.0 // deviations above the usual latency after which a hedge is sent
 	hedgeFactor  = 2.0 // and at least this multiple of it
 	hedgePart    = 0.02
-	hedgeBurst   = 5.0
+	hedgeBurst   = 20.0
 	hedgeSamples = 20          // answers before the first hedge
 	calmAfter    = time.Second // time without a refusal for overload before hedges are sent
 	hedgeLoad    = 0.8         // used part of the slots up to which hedges are sent
