--- a/command/timeline/page/page.go
+++ b/command/timeline/page/page.go
@@ -9,6 +9,7 @@
 	_ "embed"
 	"html/template"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/gypsumford/gypsumford/fleet"
@@ -85,17 +86,20 @@
 }
 
 func classPanels(events []timeline.Event, s span) []panel {
+	requests := requestsOf(events)
 	return []panel{
-		{title: "Whole requests completed a second", lines: requestRates(events, s, timeline.Completed), note: "no completed requests"},
-		{title: "Whole requests refused a second", lines: requestRates(events, s, timeline.Refused), note: "nothing refused"},
+		{title: "Whole requests completed a second", lines: requestRates(requests, s, completed), note: "no completed requests"},
+		{title: "Whole requests refused a second", lines: requestRates(requests, s, refused), note: "nothing refused"},
 	}
 }
 
+// servicePanels leaves out what didn't change.
 func servicePanels(events []timeline.Event, s span) []panel {
-	return []panel{
-		{title: "Concurrency limit, sum over targets", lines: sums(events, s, timeline.LimitChanged), note: "no limit changed"},
-		{title: "Share admitted by the strictest target", lines: lowest(events, s, timeline.LevelChanged), top: 1, note: "no level changed"},
+	all := []panel{
+		{title: "Concurrency limit, sum over targets", lines: sums(events, s, timeline.LimitChanged)},
+		{title: "Share admitted by the strictest target", lines: lowest(events, s, timeline.LevelChanged), top: 1},
 	}
+	return slices.DeleteFunc(all, func(p panel) bool { return len(p.lines) == 0 })
 }
 
 func newRow(e *timeline.Event) row {
