admission: don't cut the limit of a target that refuses some calls at any load

Cause: go test ./admission -run LimitOfShed -v, a target of 16 slots that refuses a tenth of its calls whatever runs, under overload: mean limit 6.7, as each refusal cut it. The test failed first. Change: a refusal cuts 5%, a completion meanwhile gives 0.75% back, so cuts prevail above about a tenth.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -6,8 +6,8 @@
 
 // Parameters of the limit.
 const (
-	shedCut       = 0.9                    // factor on the running calls when the target sheds
-	shedPause     = 50 * time.Millisecond  // time between two cuts
+	shedCut       = 0.95                   // factor on the limit for each call that the target refuses
+	completedGain = 1.0075                 // and for each one that it completes meanwhile
 	climbAfter    = 100 * time.Millisecond // time without a shed before the limit climbs
 	climbPart     = 0.05                   // part of the ceiling gained each tick
 	searchStart   = 16                     // first limit of a target whose slots are unknown
@@ -51,13 +51,20 @@
 	}
 }
 
-// shed cuts the limit below the number of calls at which the target refused.
-func (l *limiter) shed(now time.Time, running int) {
-	if now.Sub(l.lastCut) < shedPause {
-		return
-	}
+// shed cuts the limit as the target refused a call.
+func (l *limiter) shed(now time.Time) {
 	l.lastCut = now
-	l.value = max(1, min(l.value, float64(running))*shedCut)
+	l.value = max(1, l.value*shedCut)
+	l.search.knee = l.value
+}
+
+// completed lets a limit that was cut climb with each completed call. So the cuts
+// prevail only while the target refuses more than about a tenth of its calls; a
+// lower limit wouldn't help a target that refuses some calls at any load.
+func (l *limiter) completed(now time.Time) {
+	if now.Sub(l.lastCut) < climbAfter && l.slots > 0 {
+		l.value = min(float64(l.slots), l.value*completedGain)
+	}
 }
 
 // tick lets the limit climb. The arguments tell what the target completed and
--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -69,3 +69,66 @@
 		}
 	})
 }
+
+// shedding is a target of 16 slots under overload that refuses calls: all above
+// a number that it runs at once, and a share of the others. It returns the mean
+// limit over the last half of four seconds.
+func shedding(bears int, share float64) float64 {
+	r := rand.New(rand.NewPCG(1, 1))
+	start := time.Unix(1_000_000, 0)
+	q := admission.NewQueue(admission.DefaultConfig(16), start)
+	ends := map[admission.TicketID]int{}
+	var shed []admission.TicketID
+	id := admission.TicketID(0)
+	sum, count := 0, 0
+	for ms := range 4000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		take := func(verdicts []admission.Verdict) {
+			for _, v := range verdicts {
+				switch {
+				case v.Kind != admission.Start:
+				case len(ends) >= bears || r.Float64() < share:
+					shed = append(shed, v.Ticket)
+				default:
+					ends[v.Ticket] = ms + 40 + r.IntN(20)
+				}
+			}
+		}
+		for q.Stats().Queued < 8 {
+			id++
+			take(q.Arrive(now, id, admission.Arrival{Priority: call.PriorityOf(1, 1), Operation: "read"}, nil))
+		}
+		refused := shed
+		shed = nil
+		for _, ticket := range refused {
+			take(q.Finish(now, ticket, admission.Shed, nil))
+		}
+		for ticket := max(id, 200) - 199; ticket <= id; ticket++ {
+			if end, ok := ends[ticket]; ok && end <= ms {
+				delete(ends, ticket)
+				take(q.Finish(now, ticket, admission.Completed, nil))
+			}
+		}
+		if ms%int(admission.TickInterval/time.Millisecond) == 0 {
+			take(q.Tick(now, nil))
+		}
+		if ms >= 2000 {
+			sum += q.Stats().Limit
+			count++
+		}
+	}
+	return float64(sum) / float64(count)
+}
+
+func TestLimitOfSheddingTargets(t *testing.T) {
+	Convey("A target that refuses a tenth of its calls at any load keeps most of its slots", t, func() {
+		limit := shedding(16, 0.1)
+		t.Logf("a tenth refused: mean limit %.1f of 16", limit)
+		So(limit, ShouldBeGreaterThan, 12)
+	})
+	Convey("A target that bears only half of its slots is found out", t, func() {
+		limit := shedding(8, 0)
+		t.Logf("eight borne: mean limit %.1f of 16", limit)
+		So(limit, ShouldBeBetween, 7, 10)
+	})
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -126,7 +126,7 @@
 	t := &q.tickets[index]
 	q.addBusy(now)
 	if r == Shed {
-		q.limit.shed(now, q.running)
+		q.limit.shed(now)
 	}
 	q.learn(now, t, r)
 	q.running--
@@ -143,6 +143,7 @@
 	switch r {
 	case Completed:
 		q.completed++
+		q.limit.completed(now)
 		q.stats.Completed++
 		q.operations.observe(now, t.operation, spent)
 	case Shed:
