--- a/admission/config.go
+++ b/admission/config.go
@@ -27,7 +27,7 @@
 	Callers []CallerShare // callers that aren't listed have a share of 1
 
 	TargetDelay time.Duration // delay that the level control leaves in the queue under overload
-	MaxWait     time.Duration // longest wait of a call that the level doesn't admit, unless it runs for long
+	MaxWait     time.Duration // longest wait of a call whose class the level has closed, unless it runs for long
 	Horizon     time.Duration // time in which the level control corrects the queue's length
 	LongFactor  float64       // an operation is long from this multiple of the usual service time
 	KeptPercent int           // part of the slots that long calls can't take
--- a/admission/control.go
+++ b/admission/control.go
@@ -51,23 +51,20 @@
 func (c *control) capacity(limit int) float64 { return c.speed.value() * float64(limit) }
 
 // observe adds the completions and the busy time since the last tick. A target
-// that has become faster is believed at once. One that completes less than
-// chance explains may only have paused: then the past fades quickly.
+// that has become faster is believed at once. One that completes little may only
+// run longer calls, which show after their time, so the estimate falls slowly.
 func (c *control) observe(elapsed time.Duration, completed int, busySeconds float64) {
 	events := float64(completed)
+	speed := c.speed.value()
+	if events > speed*busySeconds && c.speed.jumped(events, busySeconds) {
+		c.speed.restart(events, busySeconds)
+		return
+	}
 	memory := speedMemory.Seconds()
-	if speed := c.speed.value(); speed > 0 {
+	if speed > 0 {
 		memory = min(max(memory, 4/speed), 2)
 	}
-	keep := math.Exp(-elapsed.Seconds() / memory)
-	if c.speed.jumped(events, busySeconds) {
-		if events > c.speed.value()*busySeconds {
-			c.speed.restart(events, busySeconds)
-			return
-		}
-		keep = jumpKeep
-	}
-	c.speed.add(events, busySeconds, keep)
+	c.speed.add(events, busySeconds, math.Exp(-elapsed.Seconds()/memory))
 }
 
 // aim sets the length of the queue that keeps the slots busy.
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -9,8 +9,8 @@
 // while the services above hold slots for them. When the queue is full, the least
 // important call is refused: by class, then by rank, stretched by how far its
 // caller exceeds its share. A call that can no longer meet its deadline is
-// refused before it runs, and so is one that has waited long and that the level
-// doesn't admit any more.
+// refused before it runs, and so is one that has waited long and whose class the
+// level has closed.
 //
 // The limit is the number of slots that the target's contract states. It is cut
 // when the target sheds and climbs back when it stops. A target that is merely
--- a/admission/flows.go
+++ b/admission/flows.go
@@ -92,6 +92,11 @@
 	}
 }
 
+// admitsClass reports whether the level admits any calls of the class.
+func (c *caller) admitsClass(class call.Class) bool {
+	return c.level.Admits(call.PriorityOf(class, 0))
+}
+
 func (c *caller) flow(p call.Priority) *flow {
 	return &c.flows[classOf(p)]
 }
--- a/admission/loop_test.go
+++ b/admission/loop_test.go
@@ -46,7 +46,9 @@
 	span     time.Duration
 	from     time.Duration // start of the measured part
 	oneClass bool
-	plain    bool // without the layer: first come first served, no levels
+	even     time.Duration // service time of the narrow service, spread by a fifth
+	wait     time.Duration // how long clients wait, patience if zero
+	plain    bool          // without the layer: first come first served, no levels
 }
 
 const (
@@ -248,7 +250,7 @@
 func (w *world) ask(again int, class call.Class, caller string) {
 	r := &request{
 		p: call.PriorityOf(class, call.Rank(w.r.Uint32()>>8)), caller: caller, operation: "work", first: again == w.plan.again, again: again,
-		deadline: w.now.Add(patience),
+		deadline: w.now.Add(w.patience()),
 	}
 	if w.measured() {
 		if r.first {
@@ -259,10 +261,17 @@
 		}
 	}
 	w.out.offers[w.bucket(w.now)]++
-	w.after(patience, func() { w.die(r) })
+	w.after(w.patience(), func() { w.die(r) })
 	w.after(hop, func() { w.enter(r, w.entries[w.r.IntN(entries)]) })
 }
 
+func (w *world) patience() time.Duration {
+	if w.plan.wait > 0 {
+		return w.plan.wait
+	}
+	return patience
+}
+
 // class draws the class of a root request: a tenth are orders.
 func (w *world) class() call.Class {
 	if w.plan.oneClass {
@@ -413,6 +422,9 @@
 		}
 		work := time.Duration(w.r.ExpFloat64() * 0.5 * float64(narrowWork))
 		work += narrowWork / 2
+		if w.plan.even > 0 {
+			work = time.Duration((0.8 + 0.4*w.r.Float64()) * float64(w.plan.even))
+		}
 		w.after(time.Duration(float64(work)*slowed), func() { done(admission.Completed) })
 	}
 	w.after(hop, func() { narrow.arrive(v) })
@@ -567,3 +579,25 @@
 		So(of(with)/of(before), ShouldBeGreaterThanOrEqualTo, 0.98)
 	})
 }
+
+func TestLoopKeepsOrdersWhenLongCallsSlow(t *testing.T) {
+	Convey("When calls of 120 ms slow by three while demand quadruples", t, func() {
+		const most = narrowTargets * narrowSlots / 0.12
+		p := plan{again: 3, span: 8 * time.Second, from: 2 * time.Second, even: 120 * time.Millisecond, wait: 2 * time.Second}
+		after := func(at time.Duration) bool { return at > 3*time.Second }
+		p.rate = func(at time.Duration) float64 {
+			if after(at) {
+				return 2 * most
+			}
+			return most / 2
+		}
+		p.slowed = func(at time.Duration) float64 {
+			if after(at) {
+				return 3
+			}
+			return 1
+		}
+		f := newWorld(p, 5).run().log(t, "long calls slowed by 3", p)
+		So(f.orders, ShouldBeGreaterThanOrEqualTo, 0.85)
+	})
+}
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -71,13 +71,13 @@
 	caller    *caller
 	arrived   time.Time
 	latest    time.Time     // latest start that meets the deadline, zero if there is none
-	patience  time.Duration // longest wait of a call that the level doesn't admit
+	patience  time.Duration // longest wait of a call whose class the level has closed
 	started   time.Time
 }
 
-// admittedPatience is the multiple of its patience for which a call waits while
-// the level admits it.
-const admittedPatience = 5
+// openPatience is the multiple of its patience for which a call waits while the
+// level admits any calls of its class.
+const openPatience = 5
 
 // lapsed returns why a waiting call is to be refused now, or NoReason.
 func (t *ticket) lapsed(now time.Time) call.Reason {
@@ -85,8 +85,8 @@
 		return call.ReasonDeadline
 	}
 	patience := t.patience
-	if t.caller.level.Admits(t.priority) {
-		patience *= admittedPatience
+	if t.caller.admitsClass(t.priority.Class()) {
+		patience *= openPatience
 	}
 	if now.Sub(t.arrived) > patience {
 		return call.ReasonOverload
