--- a/admission/config.go
+++ b/admission/config.go
@@ -28,7 +28,7 @@
 
 	TargetDelay time.Duration // delay that the level control leaves in the queue under overload
 	MaxWait     time.Duration // longest wait of a call whose class the level has closed, unless it runs for long
-	Horizon     time.Duration // time in which the level control corrects the queue's length
+	Horizon     time.Duration // least time in which the level control corrects the queue's length
 	LongFactor  float64       // an operation is long from this multiple of the usual service time
 	KeptPercent int           // part of the slots that long calls can't take
 }
--- a/admission/control.go
+++ b/admission/control.go
@@ -13,9 +13,11 @@
 	riseFloor    = 0.02 // and at least by this, so a closed class opens again
 	openTicks    = 5    // ticks for which all demand must fit before control ends
 	minRoomPart  = 0.1  // part of the capacity that is admitted however long the queue is
+	latelyMemory = 150 * time.Millisecond
 	speedMemory  = 200 * time.Millisecond
 	queueSpread  = 1.5 // standard deviations of arrivals that the queue evens out
 	minQueueGoal = 2   // calls
+	horizonRuns  = 2   // service times in which the queue's length is corrected, if longer
 	idlePart     = 0.9 // part of the slots in use below which slots are idle
 	idleTicks    = 2   // ticks with idle slots after which more is admitted
 	idleGrowth   = 1.3 // factor on what is admitted, for each further tick
@@ -43,6 +45,7 @@
 	since   time.Time // start of the present overload
 	fitting int       // ticks in a row in which all demand fitted
 	speed   rate      // completions per second of a busy slot
+	lately  rate      // the same over a short time
 	goal    float64   // length of the queue that is aimed at
 	idle    int       // ticks in a row in which slots were idle
 }
@@ -55,16 +58,15 @@
 // run longer calls, which show after their time, so the estimate falls slowly.
 func (c *control) observe(elapsed time.Duration, completed int, busySeconds float64) {
 	events := float64(completed)
-	speed := c.speed.value()
-	if events > speed*busySeconds && c.speed.jumped(events, busySeconds) {
-		c.speed.restart(events, busySeconds)
-		return
-	}
+	c.lately.add(events, busySeconds, math.Exp(-elapsed.Seconds()/latelyMemory.Seconds()))
 	memory := speedMemory.Seconds()
-	if speed > 0 {
+	if speed := c.speed.value(); speed > 0 {
 		memory = min(max(memory, 4/speed), 2)
 	}
 	c.speed.add(events, busySeconds, math.Exp(-elapsed.Seconds()/memory))
+	if c.lately.exceeds(c.speed) {
+		c.speed = c.lately
+	}
 }
 
 // aim sets the length of the queue that keeps the slots busy.
@@ -91,9 +93,10 @@
 func (c *control) rooms(cfg *Config, capacity float64, waiting *classCounts) classRates {
 	var rooms classRates
 	ahead := 0
+	horizon := max(cfg.Horizon.Seconds(), horizonRuns/c.speed.value())
 	for class, count := range waiting {
 		ahead += count
-		room := capacity + (c.goal-float64(ahead))/cfg.Horizon.Seconds()
+		room := capacity + (c.goal-float64(ahead))/horizon
 		rooms[class] = max(room, minRoomPart*capacity) * c.boost()
 	}
 	return rooms
--- a/admission/loop_test.go
+++ b/admission/loop_test.go
@@ -486,6 +486,16 @@
 	return f
 }
 
+// sum returns what was offered and what was whole in a range of tenths of a
+// second.
+func (o outcome) sum(from, to int) (offered, whole int) {
+	for bucket := from; bucket < to; bucket++ {
+		offered += o.offers[bucket]
+		whole += o.whole[bucket]
+	}
+	return offered, whole
+}
+
 // edge allows for requests that are in flight when the measured time ends.
 const edge = 0.005
 
@@ -543,11 +553,7 @@
 		out := newWorld(p, 3).run()
 		out.log(t, "slowed by 4 while demand doubles", p)
 		Convey("whole requests equal what is offered within a second", func() {
-			offered, whole := 0, 0
-			for bucket := 60; bucket < 70; bucket++ {
-				offered += out.offers[bucket]
-				whole += out.whole[bucket]
-			}
+			offered, whole := out.sum(60, 70)
 			So(float64(whole)/float64(offered), ShouldBeGreaterThanOrEqualTo, 0.98)
 		})
 	})
@@ -580,24 +586,33 @@
 	})
 }
 
-func TestLoopKeepsOrdersWhenLongCallsSlow(t *testing.T) {
-	Convey("When calls of 120 ms slow by three while demand quadruples", t, func() {
+func TestLoopWithLongCalls(t *testing.T) {
+	Convey("When calls of 120 ms slow by three and demand quadruples for four seconds", t, func() {
 		const most = narrowTargets * narrowSlots / 0.12
-		p := plan{again: 3, span: 8 * time.Second, from: 2 * time.Second, even: 120 * time.Millisecond, wait: 2 * time.Second}
-		after := func(at time.Duration) bool { return at > 3*time.Second }
+		p := plan{again: 3, span: 9 * time.Second, from: 2 * time.Second, even: 120 * time.Millisecond, wait: 2 * time.Second}
+		surge := func(at time.Duration) bool { return at > 3*time.Second && at < 7*time.Second }
 		p.rate = func(at time.Duration) float64 {
-			if after(at) {
+			if surge(at) {
 				return 2 * most
 			}
 			return most / 2
 		}
 		p.slowed = func(at time.Duration) float64 {
-			if after(at) {
+			if surge(at) {
 				return 3
 			}
 			return 1
 		}
-		f := newWorld(p, 5).run().log(t, "long calls slowed by 3", p)
-		So(f.orders, ShouldBeGreaterThanOrEqualTo, 0.85)
+		out := newWorld(p, 5).run()
+		f := out.log(t, "long calls slowed by 3", p)
+		Convey("orders still complete at first ask", func() {
+			So(f.orders, ShouldBeGreaterThanOrEqualTo, 0.95)
+		})
+		Convey("whole requests equal what is offered within a second", func() {
+			offered, whole := out.sum(80, 90)
+			first, atFirst := out.sum(70, 80)
+			t.Logf("first second after: %d whole of %d offered; next: %d of %d", atFirst, first, whole, offered)
+			So(float64(whole)/float64(offered), ShouldBeGreaterThanOrEqualTo, 0.95)
+		})
 	})
 }
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -33,6 +33,8 @@
 const (
 	jumpDeviations = 4   // standard deviations of a Poisson count from which a change is a jump
 	jumpKeep       = 0.3 // part of the past that is kept after a jump
+	fewestEvents   = 8   // events on which a recent estimate is believed
+	riseDeviations = 3   // standard deviations by which it must exceed the older one
 )
 
 // jumped reports whether the events differ from the estimate by more than
@@ -46,8 +48,9 @@
 	return difference > jumpDeviations*(math.Sqrt(expected)+1)
 }
 
-// restart forgets the past but what was just seen.
-func (r *rate) restart(events, exposure float64) {
-	r.events = events
-	r.exposure = exposure
+// exceeds reports whether r is higher than the other estimate by more than
+// chance explains.
+func (r *rate) exceeds(other rate) bool {
+	expected := other.value() * r.exposure
+	return r.events >= fewestEvents && r.events > expected+riseDeviations*math.Sqrt(expected)
 }
