--- a/admission/limit.go
+++ b/admission/limit.go
@@ -6,8 +6,8 @@
 
 // Parameters of the limit.
 const (
-	shedCut       = 0.9                    // factor on the running calls when the target sheds
-	shedPause     = 50 * time.Millisecond  // time between two cuts
+	shedCut       = 0.95                   // factor on the limit for each call that the target refuses
+	completedGain = 1.0075                 // and for each one that it completes meanwhile
 	climbAfter    = 100 * time.Millisecond // time without a shed before the limit climbs
 	climbPart     = 0.05                   // part of the ceiling gained each tick
 	searchStart   = 16                     // first limit of a target whose slots are unknown
@@ -16,6 +16,8 @@
 	searchSamples = 64                     // fewest completions that are compared
 	searchStep    = 1.15                   // factor between two tried limits
 	searchGain    = 0.25                   // part of the step that completions must gain
+	searchLoss    = 0.5                    // part of a step down that completions may lose
+	searchSmooth  = 0.25                   // weight of a window at the knee
 	searchHold    = 20                     // windows that a found knee is kept before it is tried again
 	busyEnough    = 0.9                    // part of the limit in use from which a window counts
 )
@@ -49,13 +51,20 @@
 	}
 }
 
-// shed cuts the limit below the number of calls at which the target refused.
-func (l *limiter) shed(now time.Time, running int) {
-	if now.Sub(l.lastCut) < shedPause {
-		return
-	}
+// shed cuts the limit as the target refused a call.
+func (l *limiter) shed(now time.Time) {
 	l.lastCut = now
-	l.value = max(1, min(l.value, float64(running))*shedCut)
+	l.value = max(1, l.value*shedCut)
+	l.search.knee = l.value
+}
+
+// completed lets a limit that was cut climb with each completed call. So the cuts
+// prevail only while the target refuses more than about a tenth of its calls; a
+// lower limit wouldn't help a target that refuses some calls at any load.
+func (l *limiter) completed(now time.Time) {
+	if now.Sub(l.lastCut) < climbAfter && l.slots > 0 {
+		l.value = min(float64(l.slots), l.value*completedGain)
+	}
 }
 
 // tick lets the limit climb. The arguments tell what the target completed and
@@ -76,11 +85,13 @@
 	}
 }
 
-// search looks for the lowest limit with the most completions.
+// search looks for the lowest limit with the most completions. From the knee
+// that it knows it tries a higher limit, then a lower one, in turn.
 type search struct {
 	knee      float64 // best limit found
 	best      float64 // completions per second at the knee
 	held      int     // windows for which the knee is still kept
+	down      bool    // the next try is below the knee
 	elapsed   time.Duration
 	completed int
 	busy      float64 // seconds of running calls
@@ -111,25 +122,49 @@
 	if inUse < busyEnough*float64(int(present)) {
 		return present // the limit didn't bind, so the window tells nothing
 	}
-	if present > s.knee {
+	if present != s.knee {
 		return s.judge(present, throughput)
 	}
-	s.best = throughput
+	s.smooth(throughput)
 	if s.held > 0 {
 		s.held--
 		return present
 	}
-	return min(searchCeiling, max(present*searchStep, present+1))
+	return s.try()
+}
+
+// try returns the limit to compare with the knee.
+func (s *search) try() float64 {
+	if s.down {
+		return max(1, min(s.knee/searchStep, s.knee-1))
+	}
+	return min(searchCeiling, max(s.knee*searchStep, s.knee+1))
 }
 
-// judge keeps a raised limit if completions rose with it.
+// judge keeps a higher limit if completions rose with it, and a lower one if
+// they hardly fell. Otherwise it returns to the knee and turns round.
 func (s *search) judge(present, throughput float64) float64 {
-	needed := s.best * (1 + (present/s.knee-1)*searchGain)
+	gain := searchGain
+	if s.down {
+		gain = searchLoss
+	}
+	needed := s.best * (1 + (present/s.knee-1)*gain)
 	if throughput < needed {
-		s.held = searchHold
+		if s.down {
+			s.held = searchHold
+		}
+		s.down = !s.down
 		return s.knee
 	}
 	s.knee = present
-	s.best = throughput
-	return min(searchCeiling, max(present*searchStep, present+1))
+	s.smooth(throughput)
+	return s.try()
+}
+
+// smooth takes the completions of one window at the knee.
+func (s *search) smooth(throughput float64) {
+	if s.best == 0 {
+		s.best = throughput
+	}
+	s.best += searchSmooth * (throughput - s.best)
 }
