Prove the fence and the single sending over processes, with mutations

Cause: the decisions are proved in virtual time; the wire around them was not. Change: scripts for a killed target, a lost answer on a used connection, and a write that the platform applies after its home died; five mutations of the daemon whose scripts must fail.

--- a/proof/mutations_test.go
+++ b/proof/mutations_test.go
@@ -101,16 +101,29 @@
 }
 
 func (m *mutation) runTest(t *testing.T, overlay string) (string, error) {
-	arguments := []string{"test", "-count=1", "-vet=off", "-overlay=" + overlay, "-run", "^" + m.Test + "$", m.Package}
+	// Scripts over processes build binaries, which must be mutated, too.
+	flags := strings.TrimSpace(goFlags(t) + " -overlay=" + overlay)
+	pattern := "^" + strings.ReplaceAll(m.Test, "/", "$/^") + "$"
+	arguments := []string{"test", "-count=1", "-vet=off", "-run", pattern, m.Package}
 	if m.usesRapid(t) {
 		arguments = append(arguments, "-rapid.shrinktime=1ms", "-rapid.nofailfile")
 	}
 	command := exec.Command("go", arguments...)
 	command.Dir = moduleRoot
+	command.Env = append(os.Environ(), "GOFLAGS="+flags)
 	output, err := command.CombinedOutput()
 	return string(output), err
 }
 
+func goFlags(t *testing.T) string {
+	t.Helper()
+	flags, err := exec.Command("go", "env", "GOFLAGS").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.TrimSpace(string(flags))
+}
+
 // usesRapid reports whether the package's tests have the flags of rapid.
 func (m *mutation) usesRapid(t *testing.T) bool {
 	files, err := filepath.Glob(filepath.Join(moduleRoot, m.Package, "*_test.go"))
@@ -118,12 +131,14 @@
 		t.Fatal(err)
 	}
 	for _, file := range files {
-		source, err := os.ReadFile(file)
+		tree, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if bytes.Contains(source, []byte("pgregory.net/rapid")) {
-			return true
+		for _, spec := range tree.Imports {
+			if spec.Path.Value == `"pgregory.net/rapid"` {
+				return true
+			}
 		}
 	}
 	return false
@@ -132,7 +147,8 @@
 // firstFailure returns the line that tells what the test saw.
 func firstFailure(output string) string {
 	for _, line := range strings.Split(output, "\n") {
-		if strings.Contains(line, "_test.go:") && !strings.Contains(line, "[rapid] draw") {
+		inTest := strings.Contains(line, "_test.go:") && !strings.Contains(line, "[rapid] draw")
+		if inTest || strings.Contains(line, "FAIL: testdata/") || strings.Contains(line, "Expected:") {
 			return strings.TrimSpace(line)
 		}
 	}
--- a/proof/scripts_test.go
+++ b/proof/scripts_test.go
@@ -57,6 +57,7 @@
 			"order":      command((*script).cmdOrder),
 			"answer":     command((*script).cmdAnswer),
 			"started":    command((*script).cmdStarted),
+			"runner":     command((*script).cmdRunner),
 			"runs":       command((*script).cmdRuns),
 			"at-most":    command((*script).cmdAtMost),
 			"journal":    command((*script).cmdJournal),
@@ -141,8 +142,8 @@
 	return nil
 }
 
-// seen-by INSTANCE SERVICE NUMBER: waits until the instance sees so many
-// members that take calls and are not suspect.
+// seen-by INSTANCE SERVICE NUMBER: waits until the instance sees so many ready
+// members and none that is suspect.
 func (s *script) cmdSeenBy(args []string) error {
 	in, err := s.instance(args[0])
 	if err != nil {
@@ -153,14 +154,17 @@
 		if err != nil {
 			return err
 		}
-		ready := 0
+		ready, suspect := 0, 0
 		for _, m := range members {
-			if m.State == fleet.Ready {
+			switch m.State {
+			case fleet.Ready:
 				ready++
+			case fleet.Suspect:
+				suspect++
 			}
 		}
-		if strconv.Itoa(ready) != args[2] {
-			return errors.Newf("%s sees %d members", in.name, ready)
+		if strconv.Itoa(ready) != args[2] || suspect > 0 {
+			return errors.Newf("%s sees %d ready and %d suspect members", in.name, ready, suspect)
 		}
 		return nil
 	})
@@ -238,11 +242,29 @@
 	return nil
 }
 
-// key VARIABLE: a new key that a caller chose.
+// key VARIABLE [KEY OPERATION]: a new key that a caller chose, in the shard of
+// another one if that is given.
 func (s *script) cmdKey(args []string) error {
-	id, err := uuid.NewV7()
-	s.ts.Setenv(args[0], id.String())
-	return err
+	for {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return err
+		}
+		if len(args) > 1 && shardOf(id.String(), args[2]) != shardOf(args[1], args[2]) {
+			continue
+		}
+		s.ts.Setenv(args[0], id.String())
+		return nil
+	}
+}
+
+// shardOf returns the shard of a valid key, -1 for another text.
+func shardOf(text, operation string) int {
+	key, err := claim.ParseKey(text)
+	if err != nil {
+		return -1
+	}
+	return key.For("", operation).Shard()
 }
 
 // issue VARIABLE INSTANCE: a key that the instance issued.
@@ -257,7 +279,7 @@
 }
 
 // home VARIABLE OTHER-VARIABLE FROM SERVICE OPERATION KEY: the instance that is
-// home of the key as FROM sees it, and another one of the service.
+// home of the key as FROM sees it, and another live one of the service.
 func (s *script) cmdHome(args []string) error {
 	from, err := s.instance(args[2])
 	if err != nil {
@@ -273,7 +295,7 @@
 	}
 	s.ts.Setenv(args[0], home.name)
 	for name, in := range s.instances {
-		if in != home && in.service == args[3] {
+		if in != home && in.service == args[3] && !in.node.ended() {
 			s.ts.Setenv(args[1], name)
 		}
 	}
@@ -423,23 +445,45 @@
 	return err
 }
 
-// countRuns reads the journals: a line that begins with S is a run with a key.
-func (s *script) countRuns(key string) (int, error) {
-	journals, err := filepath.Glob(filepath.Join(s.dir, "*.journal"))
-	if err != nil {
-		return 0, err
+// runner VARIABLE KEY: the instance whose target has begun to run the key.
+func (s *script) cmdRunner(args []string) error {
+	for name := range s.instances {
+		n, err := s.runsAt(name, args[1])
+		if err != nil {
+			return err
+		}
+		if n > 0 {
+			s.ts.Setenv(args[0], name)
+			return nil
+		}
 	}
+	return errors.Newf("key %s does not run", args[1])
+}
+
+// countRuns counts the runs of a key at all targets.
+func (s *script) countRuns(key string) (int, error) {
 	count := 0
-	for _, journal := range journals {
-		text, err := os.ReadFile(journal)
+	for name := range s.instances {
+		n, err := s.runsAt(name, key)
 		if err != nil {
 			return 0, err
 		}
-		for _, line := range strings.Split(string(text), "\n") {
-			fields := strings.Fields(line)
-			if len(fields) > 3 && fields[0] == "S" && fields[3] == key {
-				count++
-			}
+		count += n
+	}
+	return count, nil
+}
+
+// runsAt reads a target's journal: a line that begins with S is a run with a key.
+func (s *script) runsAt(name, key string) (int, error) {
+	text, err := os.ReadFile(filepath.Join(s.dir, name+".journal"))
+	if err != nil {
+		return 0, err
+	}
+	count := 0
+	for _, line := range strings.Split(string(text), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) > 3 && fields[0] == "S" && fields[3] == key {
+			count++
 		}
 	}
 	return count, nil
