--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net"
 	"net/http"
@@ -44,6 +45,8 @@
 })
 
 func TestMain(m *testing.M) {
+	flag.Parse()
+	fixRapid()
 	code := m.Run()
 	if dir, err := binaries(); err == nil {
 		_ = os.RemoveAll(dir)
@@ -66,6 +69,7 @@
 	name, service            string
 	call, peer, targetListen string
 	node, target             *process
+	half                     *halfTarget // in place of target
 }
 
 // process is one child process.
@@ -112,6 +116,11 @@
 		_ = process.cmd.Process.Kill()
 		<-process.exited
 	}
+	for _, in := range p.instances {
+		if in.half != nil {
+			_ = in.half.server.Close()
+		}
+	}
 }
 
 func (p *processes) startPlatform() error {
@@ -124,30 +133,39 @@
 
 // startInstance starts a target and its node; settings is the target's file.
 func (p *processes) startInstance(name, service, settings string) error {
-	in := &instance{
-		name: name, service: service,
-		call: freeAddress(), peer: freeAddress(), targetListen: freeAddress(),
-	}
-	p.instances[name] = in
-	var err error
-	if in.node, err = p.start(name+".node", "gypsumd", "-call-listen", in.call, "-peer-listen", in.peer,
-		"-platform", "http://"+p.platform, "-failure-domain", "by-1", "-region", "bayern",
-		"-drain-timeout", "10s", "-seeds", p.seeds(name)); err != nil {
+	in, err := p.startNode(name, service)
+	if err != nil {
 		return err
 	}
 	if in.target, err = p.start(name+".target", "standin", "target", "-settings", settings,
 		"-listen", in.targetListen, "-node", in.call, "-journal", filepath.Join(p.dir, name+".journal")); err != nil {
 		return err
 	}
-	return p.await(name+" is ready", func() error { return p.get("http://" + in.peer + "/readyz") })
+	return p.awaitReady(in)
+}
+
+// startNode starts the node of an instance.
+func (p *processes) startNode(name, service string) (*instance, error) {
+	in := &instance{
+		name: name, service: service,
+		call: freeAddress(), peer: freeAddress(), targetListen: freeAddress(),
+	}
+	var err error
+	in.node, err = p.start(name+".node", "gypsumd", "-call-listen", in.call, "-peer-listen", in.peer,
+		"-platform", "http://"+p.platform, "-failure-domain", "by-1", "-region", "bayern",
+		"-drain-timeout", "10s", "-seeds", p.seeds())
+	p.instances[name] = in
+	return in, err
+}
+
+func (p *processes) awaitReady(in *instance) error {
+	return p.await(in.name+" is ready", func() error { return p.get("http://" + in.peer + "/readyz") })
 }
 
-func (p *processes) seeds(except string) string {
+func (p *processes) seeds() string {
 	var seeds []string
-	for name, in := range p.instances {
-		if name != except {
-			seeds = append(seeds, in.peer)
-		}
+	for _, in := range p.instances {
+		seeds = append(seeds, in.peer)
 	}
 	return strings.Join(seeds, ",")
 }
--- a/proof/scripts_test.go
+++ b/proof/scripts_test.go
@@ -44,28 +44,30 @@
 			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"platform":   command((*script).cmdPlatform),
-			"instance":   command((*script).cmdInstance),
-			"members":    command((*script).cmdMembers),
-			"seen-by":    command((*script).cmdSeenBy),
-			"control":    command((*script).cmdControl),
-			"signal":     command((*script).cmdSignal),
-			"exits":      command((*script).cmdExits),
-			"key":        command((*script).cmdKey),
-			"issue":      command((*script).cmdIssue),
-			"home":       command((*script).cmdHome),
-			"order":      command((*script).cmdOrder),
-			"answer":     command((*script).cmdAnswer),
-			"started":    command((*script).cmdStarted),
-			"runner":     command((*script).cmdRunner),
-			"runs":       command((*script).cmdRuns),
-			"at-most":    command((*script).cmdAtMost),
-			"journal":    command((*script).cmdJournal),
-			"load":       command((*script).cmdLoad),
-			"equal":      command((*script).cmdEqual),
-			"sleep":      command((*script).cmdSleep),
-			"versions":   command((*script).cmdVersions),
-			"eventually": command((*script).cmdEventually),
+			"platform":      command((*script).cmdPlatform),
+			"instance":      command((*script).cmdInstance),
+			"half-instance": command((*script).cmdHalfInstance),
+			"half-runs":     command((*script).cmdHalfRuns),
+			"members":       command((*script).cmdMembers),
+			"seen-by":       command((*script).cmdSeenBy),
+			"control":       command((*script).cmdControl),
+			"signal":        command((*script).cmdSignal),
+			"exits":         command((*script).cmdExits),
+			"key":           command((*script).cmdKey),
+			"issue":         command((*script).cmdIssue),
+			"home":          command((*script).cmdHome),
+			"order":         command((*script).cmdOrder),
+			"answer":        command((*script).cmdAnswer),
+			"started":       command((*script).cmdStarted),
+			"runner":        command((*script).cmdRunner),
+			"runs":          command((*script).cmdRuns),
+			"at-most":       command((*script).cmdAtMost),
+			"journal":       command((*script).cmdJournal),
+			"load":          command((*script).cmdLoad),
+			"equal":         command((*script).cmdEqual),
+			"sleep":         command((*script).cmdSleep),
+			"versions":      command((*script).cmdVersions),
+			"eventually":    command((*script).cmdEventually),
 		},
 	})
 }
@@ -129,6 +131,30 @@
 	return nil
 }
 
+// half-instance NAME SERVICE: a node with a target whose answers break off.
+func (s *script) cmdHalfInstance(args []string) error {
+	in, err := s.startNode(args[0], args[1])
+	if err != nil {
+		return err
+	}
+	if err := s.await("the node listens", func() error { return s.get("http://" + in.peer + "/healthz") }); err != nil {
+		return err
+	}
+	if in.half, err = s.startHalfTarget(in); err != nil {
+		return err
+	}
+	return s.awaitReady(in)
+}
+
+// half-runs INSTANCE NUMBER: so many calls reached such a target.
+func (s *script) cmdHalfRuns(args []string) error {
+	in, err := s.instance(args[0])
+	if err != nil {
+		return err
+	}
+	return s.cmdEqual([]string{strconv.FormatInt(in.half.runs.Load(), 10), args[1]})
+}
+
 // members SERVICE NUMBER: all live nodes see so many members that take calls.
 func (s *script) cmdMembers(args []string) error {
 	for name, in := range s.instances {
