Inventory: read fields without maps, and paths only for findings

Cause: two maps for each group of fields and a path for each field. Change: keys are searched in place; a group has at most 64 fields. FuzzParse ran 25 s without a finding.

--- a/inventory/docs_test.go
+++ b/inventory/docs_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	var fields []string
-	pattern := regexp.MustCompile(`\.(?:require|take|int|requireInt|duration|bool)\("([a-z-]+)"`)
+	pattern := regexp.MustCompile(`\.(?:require|take|int|requireInt|duration|requireDuration|bool)\("([a-z-]+)"`)
 	for _, match := range pattern.FindAllStringSubmatch(string(source), -1) {
 		fields = append(fields, match[1])
 	}
--- a/inventory/mapping.go
+++ b/inventory/mapping.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"regexp"
 	"strconv"
 	"time"
 
@@ -11,7 +10,9 @@
 	"github.com/gypsumford/gypsumford/finding"
 )
 
-var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]*$`)
+// maxFields is the number of fields of one group that are read; the inventory
+// has no group of more than ten.
+const maxFields = 64
 
 // reader turns YAML nodes into values and collects what is wrong with them.
 type reader struct {
@@ -33,38 +34,51 @@
 	reader *reader
 	path   string
 	node   *yaml.Node
-	fields map[string]*yaml.Node
-	known  map[string]bool
+	taken  []bool // by the position of the field
 }
 
-// mapping reads the keys of a mapping. For any other node it adds a finding and
+// mapping checks the keys of a mapping. For any other node it adds a finding and
 // returns nil.
 func (r *reader) mapping(node *yaml.Node, path string) *mapping {
 	if node.Kind != yaml.MappingNode {
 		r.add(node, path, "%s where fields are expected", kindName(node))
 		return nil
 	}
-	m := &mapping{
-		reader: r, path: path, node: node,
-		fields: make(map[string]*yaml.Node, len(node.Content)/2),
-		known:  make(map[string]bool, len(node.Content)/2),
+	if len(node.Content) > 2*maxFields {
+		r.add(node, path, "%d fields, at most %d are read", len(node.Content)/2, maxFields)
+		node.Content = node.Content[:2*maxFields]
 	}
-	for i := 0; i+1 < len(node.Content); i += 2 {
-		m.addField(node.Content[i], node.Content[i+1])
+	m := &mapping{reader: r, path: path, node: node, taken: make([]bool, len(node.Content)/2)}
+	for i := range m.taken {
+		m.checkKey(i)
 	}
 	return m
 }
 
-func (m *mapping) addField(key, value *yaml.Node) {
+// checkKey adds a finding if the key is no name of a field, or given before, and
+// keeps its value from being taken then.
+func (m *mapping) checkKey(i int) {
+	key := m.node.Content[2*i]
 	if key.Kind != yaml.ScalarNode {
 		m.reader.add(key, m.path, "%s where the name of a field is expected", kindName(key))
+		m.taken[i] = true
 		return
 	}
-	if first, twice := m.fields[key.Value]; twice {
-		m.reader.add(key, m.at(key.Value), "field given twice, first in line %d", first.Line)
-		return
+	if first := m.find(key.Value); first != i {
+		m.reader.add(key, m.at(key.Value), "field given twice, first in line %d", m.node.Content[2*first].Line)
+		m.taken[i] = true
+	}
+}
+
+// find returns the position of the first field of the name, or -1.
+func (m *mapping) find(field string) int {
+	for i := range m.taken {
+		key := m.node.Content[2*i]
+		if key.Value == field && key.Kind == yaml.ScalarNode {
+			return i
+		}
 	}
-	m.fields[key.Value] = value
+	return -1
 }
 
 // at returns the path of a field of the mapping.
@@ -72,9 +86,13 @@
 
 // take returns the value of a field, or nil if it is absent or null.
 func (m *mapping) take(field string) *yaml.Node {
-	m.known[field] = true
-	value := m.fields[field]
-	if value == nil || value.Kind == yaml.ScalarNode && value.Tag == "!!null" {
+	i := m.find(field)
+	if i < 0 {
+		return nil
+	}
+	m.taken[i] = true
+	value := m.node.Content[2*i+1]
+	if value.Kind == yaml.ScalarNode && value.Tag == "!!null" {
 		return nil
 	}
 	return value
@@ -91,37 +109,50 @@
 
 // close adds a finding for each field that nobody took.
 func (m *mapping) close() {
-	for i := 0; i+1 < len(m.node.Content); i += 2 {
-		key := m.node.Content[i]
-		if key.Kind == yaml.ScalarNode && !m.known[key.Value] {
-			m.known[key.Value] = true
+	for i, taken := range m.taken {
+		if key := m.node.Content[2*i]; !taken {
 			m.reader.add(key, m.at(key.Value), "unknown field")
 		}
 	}
 }
 
+// place returns the path of a value. It is called for findings only.
+type place func() string
+
 // scalar returns the text of a scalar, or false after it has added a finding.
-func (r *reader) scalar(node *yaml.Node, path string) (string, bool) {
+func (r *reader) scalar(node *yaml.Node, at place) (string, bool) {
 	if node.Kind != yaml.ScalarNode {
-		r.add(node, path, "%s where one value is expected", kindName(node))
+		r.add(node, at(), "%s where one value is expected", kindName(node))
 		return "", false
 	}
 	return node.Value, true
 }
 
 // name reads a name, or returns "" after it has added a finding.
-func (r *reader) name(node *yaml.Node, path string) string {
-	text, ok := r.scalar(node, path)
+func (r *reader) name(node *yaml.Node, at place) string {
+	text, ok := r.scalar(node, at)
 	if !ok {
 		return ""
 	}
-	if len(text) > MaxNameBytes || !namePattern.MatchString(text) {
-		r.add(node, path, "%q is no name: at most %d lower-case letters, digits and hyphens, the first a letter", clip(text), MaxNameBytes)
+	if len(text) > MaxNameBytes || !isName(text) {
+		r.add(node, at(), "%q is no name: at most %d lower-case letters, digits and hyphens, the first a letter", clip(text), MaxNameBytes)
 		return ""
 	}
 	return text
 }
 
+// isName reports whether the text has the characters of a name.
+func isName(text string) bool {
+	for i, c := range []byte(text) {
+		letter := c >= 'a' && c <= 'z'
+		inner := c >= '0' && c <= '9' || c == '-'
+		if !letter && (!inner || i == 0) {
+			return false
+		}
+	}
+	return text != ""
+}
+
 // list returns the entries of a list of at most highest entries.
 func (r *reader) list(node *yaml.Node, path string, highest int) []*yaml.Node {
 	if node == nil {
@@ -143,7 +174,7 @@
 func (r *reader) names(node *yaml.Node, path string, highest int) (names []string, lines []int) {
 	seen := make(map[string]int)
 	for i, entry := range r.list(node, path, highest) {
-		name := r.name(entry, index(path, i))
+		name := r.name(entry, func() string { return index(path, i) })
 		if name == "" || !r.first(seen, name, entry.Line, path) {
 			continue
 		}
@@ -169,7 +200,7 @@
 	if node == nil {
 		return fallback
 	}
-	return m.reader.int(node, m.at(field), bounds, fallback)
+	return m.parseInt(node, field, bounds, fallback)
 }
 
 // requireInt reads a required number.
@@ -178,21 +209,21 @@
 	if node == nil {
 		return bounds.lowest
 	}
-	return m.reader.int(node, m.at(field), bounds, bounds.lowest)
+	return m.parseInt(node, field, bounds, bounds.lowest)
 }
 
-func (r *reader) int(node *yaml.Node, path string, bounds intBounds, fallback int) int {
-	text, ok := r.scalar(node, path)
+func (m *mapping) parseInt(node *yaml.Node, field string, bounds intBounds, fallback int) int {
+	text, ok := m.reader.scalar(node, func() string { return m.at(field) })
 	if !ok {
 		return fallback
 	}
 	value, err := strconv.Atoi(text)
 	if err != nil {
-		r.add(node, path, "%q is no whole number; the field has no unit", clip(text))
+		m.reader.add(node, m.at(field), "%q is no whole number; the field has no unit", clip(text))
 		return fallback
 	}
 	if value < bounds.lowest || value > bounds.highest {
-		r.add(node, path, "%d is out of bounds, from %d to %d are allowed", value, bounds.lowest, bounds.highest)
+		m.reader.add(node, m.at(field), "%d is out of bounds, from %d to %d are allowed", value, bounds.lowest, bounds.highest)
 		return fallback
 	}
 	return value
@@ -204,30 +235,46 @@
 	if node == nil {
 		return fallback
 	}
-	return m.reader.duration(node, m.at(field), bounds, fallback)
+	return m.parseDuration(node, field, bounds, fallback)
+}
+
+// requireDuration reads a required duration.
+func (m *mapping) requireDuration(field string, bounds durationBounds) time.Duration {
+	node := m.require(field)
+	if node == nil {
+		return bounds.shortest
+	}
+	return m.parseDuration(node, field, bounds, bounds.shortest)
 }
 
-func (r *reader) duration(node *yaml.Node, path string, bounds durationBounds, fallback time.Duration) time.Duration {
-	text, ok := r.scalar(node, path)
+func (m *mapping) parseDuration(node *yaml.Node, field string, bounds durationBounds, fallback time.Duration) time.Duration {
+	text, ok := m.reader.scalar(node, func() string { return m.at(field) })
 	if !ok {
 		return fallback
 	}
-	if _, err := strconv.ParseFloat(text, 64); err == nil {
-		r.add(node, path, "%q has no unit, write it as %sms or %ss", clip(text), clip(text), clip(text))
+	value, err := time.ParseDuration(text)
+	if (err != nil || value == 0) && isNumber(text) {
+		m.reader.add(node, m.at(field), "%q has no unit, write it as %sms or %ss", clip(text), clip(text), clip(text))
 		return fallback
 	}
-	value, err := time.ParseDuration(text)
 	if err != nil {
-		r.add(node, path, "%q is no duration with a unit (us, ms, s, m, h), such as 250ms", clip(text))
+		m.reader.add(node, m.at(field), "%q is no duration with a unit (us, ms, s, m, h), such as 250ms", clip(text))
 		return fallback
 	}
 	if value < bounds.shortest || value > bounds.longest {
-		r.add(node, path, "%s is out of bounds, from %s to %s are allowed", value, bounds.shortest, bounds.longest)
+		m.reader.add(node, m.at(field), "%s is out of bounds, from %s to %s are allowed", value, bounds.shortest, bounds.longest)
 		return fallback
 	}
 	return value
 }
 
+// isNumber reports whether the text is a number without a unit; "0" alone would
+// be a duration otherwise.
+func isNumber(text string) bool {
+	_, err := strconv.ParseFloat(text, 64)
+	return err == nil
+}
+
 // bool reads an optional field that is true or false.
 func (m *mapping) bool(field string) bool {
 	node := m.take(field)
--- a/inventory/parse.go
+++ b/inventory/parse.go
@@ -128,7 +128,7 @@
 	if node == nil {
 		return ""
 	}
-	name := p.name(node, entry.at("name"))
+	name := p.name(node, func() string { return entry.at("name") })
 	if name != "" {
 		entry.path = join(listPath, name)
 	}
@@ -222,13 +222,11 @@
 	operation.Class = p.parseClass(m)
 	operation.AtMostOnce = m.bool("at-most-once")
 	operation.Repeatable = m.bool("repeatable")
-	if node := m.require("deadline"); node != nil {
-		operation.Deadline = p.duration(node, m.at("deadline"), deadlineBounds, deadlineBounds.shortest)
-	}
+	operation.Deadline = m.requireDuration("deadline", deadlineBounds)
 	operation.Attempts = m.int("attempts", attemptsBounds, 0)
 	m.close()
 	if operation.AtMostOnce && operation.Repeatable {
-		p.add(m.fields["repeatable"], m.at("repeatable"), "an at-most-once operation can't be repeatable: a retry could run it twice")
+		p.add(m.take("repeatable"), m.at("repeatable"), "an at-most-once operation can't be repeatable: a retry could run it twice")
 	}
 	return operation
 }
@@ -238,7 +236,7 @@
 	if node == nil {
 		return 0
 	}
-	name := p.name(node, m.at("class"))
+	name := p.name(node, func() string { return m.at("class") })
 	if name == "" {
 		return 0
 	}
