--- a/admission/control.go
+++ b/admission/control.go
@@ -16,8 +16,27 @@
 	speedMemory  = 200 * time.Millisecond
 	queueSpread  = 1.5 // standard deviations of arrivals that the queue evens out
 	minQueueGoal = 2   // calls
+	idlePart     = 0.9 // part of the slots in use below which slots are idle
+	idleTicks    = 2   // ticks with idle slots after which more is admitted
+	idleGrowth   = 1.3 // factor on what is admitted, for each further tick
+	idleMost     = 20  // ticks for which it grows
 )
 
+// classCounts holds a number of calls for each class.
+type classCounts [call.MaxClasses]int
+
+// total returns the calls of all classes.
+func (c *classCounts) total() int {
+	sum := 0
+	for _, count := range c {
+		sum += count
+	}
+	return sum
+}
+
+// classRates holds calls per second for each class.
+type classRates [call.MaxClasses]float64
+
 // control derives the levels of a queue's callers.
 type control struct {
 	active  bool      // the target has more demand than it can bear
@@ -25,18 +44,30 @@
 	fitting int       // ticks in a row in which all demand fitted
 	speed   rate      // completions per second of a busy slot
 	goal    float64   // length of the queue that is aimed at
+	idle    int       // ticks in a row in which slots were idle
 }
 
 // capacity returns completions per second with all slots busy, 0 if unknown.
 func (c *control) capacity(limit int) float64 { return c.speed.value() * float64(limit) }
 
-// observe adds the completions and the busy time since the last tick.
+// observe adds the completions and the busy time since the last tick. A target
+// that has become faster is believed at once. One that completes less than
+// chance explains may only have paused: then the past fades quickly.
 func (c *control) observe(elapsed time.Duration, completed int, busySeconds float64) {
+	events := float64(completed)
 	memory := speedMemory.Seconds()
 	if speed := c.speed.value(); speed > 0 {
 		memory = min(max(memory, 4/speed), 2)
 	}
-	c.speed.add(float64(completed), busySeconds, math.Exp(-elapsed.Seconds()/memory))
+	keep := math.Exp(-elapsed.Seconds() / memory)
+	if c.speed.jumped(events, busySeconds) {
+		if events > c.speed.value()*busySeconds {
+			c.speed.restart(events, busySeconds)
+			return
+		}
+		keep = jumpKeep
+	}
+	c.speed.add(events, busySeconds, keep)
 }
 
 // aim sets the length of the queue that keeps the slots busy.
@@ -46,9 +77,43 @@
 	c.goal = max(capacity*cfg.TargetDelay.Seconds(), spread, minQueueGoal)
 }
 
+// observeIdle takes note of whether slots were idle since the last tick. When
+// they are, the level is too strict, whatever the estimates say.
+func (c *control) observeIdle(elapsed time.Duration, busySeconds float64, limit, queued int) {
+	inUse := busySeconds / elapsed.Seconds()
+	if queued > 0 || inUse >= idlePart*float64(limit) {
+		c.idle = 0
+		return
+	}
+	c.idle++
+}
+
+// rooms returns, for each class, the calls per second of it and of the more
+// important classes that the level should admit. Only calls that are not less
+// important count as waiting: the others are refused if they are in the way.
+func (c *control) rooms(cfg *Config, capacity float64, waiting *classCounts) classRates {
+	var rooms classRates
+	ahead := 0
+	for class, count := range waiting {
+		ahead += count
+		room := capacity + (c.goal-float64(ahead))/cfg.Horizon.Seconds()
+		rooms[class] = max(room, minRoomPart*capacity) * c.boost()
+	}
+	return rooms
+}
+
+// boost returns the factor on what is admitted while slots are idle.
+func (c *control) boost() float64 {
+	if c.idle < idleTicks {
+		return 1
+	}
+	return math.Pow(idleGrowth, float64(min(c.idle-idleTicks+1, idleMost)))
+}
+
 // levels moves the level of each caller. Pressed tells that calls were refused
 // for room since the last tick.
-func (c *control) levels(now time.Time, cfg *Config, list []*caller, limit, queued int, pressed bool) {
+func (c *control) levels(now time.Time, cfg *Config, list []*caller, limit int, waiting *classCounts, pressed bool) {
+	queued := waiting.total()
 	capacity := c.capacity(limit)
 	if capacity == 0 {
 		return
@@ -60,8 +125,7 @@
 		c.active = true
 		c.since = now
 	}
-	room := capacity + (c.goal-float64(queued))/cfg.Horizon.Seconds()
-	fits := fill(list, max(room, minRoomPart*capacity))
+	fits := fill(list, c.rooms(cfg, capacity, waiting))
 	c.settle(list, fits && !pressed && float64(queued) <= c.goal)
 	for _, caller := range list {
 		caller.level = caller.levelOf()
@@ -81,19 +145,21 @@
 	}
 }
 
-// fill divides the room, in calls per second, over classes in order of
+// fill divides the rooms, in calls per second, over classes in order of
 // importance and over callers by max-min fairness. It reports whether every
 // flow is admitted whole.
-func fill(list []*caller, room float64) bool {
+func fill(list []*caller, rooms classRates) bool {
 	open := true
+	admitted := 0.0
 	for class := range call.MaxClasses {
 		if !open {
 			closeClass(list, class)
 			continue
 		}
 		demand := demandOf(list, class)
+		room := max(rooms[class]-admitted, 0)
 		if demand <= room {
-			room -= demand
+			admitted += demand
 			open = raise(list, class, math.Inf(1))
 			continue
 		}
