--- a/membership/table.go
+++ b/membership/table.go
@@ -122,7 +122,7 @@
 	for _, ref := range t.suspects {
 		r, ok := t.members.get(ref)
 		if ok && r.health == suspect {
-			r.deadline += gap
+			r.deadline = min(r.deadline+gap, t.now+t.cfg.Suspicion) // it may be younger than the pause
 			t.members.put(r)
 		}
 	}
@@ -347,6 +347,18 @@
 	return all
 }
 
+// DomainMembers returns the ids of the live members of the node's own failure
+// domain, the node included, in the order of their references.
+func (t *Table) DomainMembers() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	t.members.each(func(r *record) {
+		if r.live() && r.who.domain == t.self.who.domain {
+			ids = append(ids, r.who.id)
+		}
+	})
+	return ids
+}
+
 // Get returns the member with the given id.
 func (t *Table) Get(id fleet.InstanceID) (fleet.Instance, bool) {
 	r, ok := t.members.get(referenceOf(id))
