Keep calls clear of control's locks; bound bodies and control messages

Cause, from reading: a new configuration was parsed, and a whole membership table merged, under locks that each call takes; bodies in flight had no common bound.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,6 +71,7 @@
 	joined       atomic.Bool
 	fleetChanged atomic.Bool  // the rollout doesn't know yet who is live
 	inFlight     atomic.Int64 // calls that the listeners serve
+	bodies       byteBudget   // bodies of those calls
 }
 
 // New opens the listeners and builds the node. Run starts it.
@@ -124,7 +125,7 @@
 	}
 	a.members = &members{
 		now: a.now, socket: socket, http: a.controlHTTP, metrics: a.metrics,
-		announce: a.announce, changed: a.membersChanged,
+		announce: a.announce, changed: a.membersChanged, started: a.started,
 	}
 	a.members.mu.table = membership.NewTable(membership.Config{}, a.self, a.now(), randomSeed())
 	a.configurations = &configurations{
--- a/agent/configuration.go
+++ b/agent/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,7 @@
 	inForce  *inForce
 	// accepted is called, without any lock, after a new one came into force.
 	accepted func(*configuration)
+	wasReady atomic.Bool
 
 	mu struct {
 		sync.Mutex
@@ -56,27 +58,19 @@
 	}
 }
 
-// offer takes a document that a peer or the platform gave.
+// offer takes a document that a peer or the platform gave. It is parsed without
+// the lock, as a large one takes many milliseconds.
 func (c *configurations) offer(version uint64, document []byte, source string) {
-	var parsed *inventory.Inventory
-	var finding error
-	check := func(data []byte) error {
-		parsed, finding = inventory.Parse(ConfigKey, data)
-		return finding
-	}
-	c.mu.Lock()
-	result := c.mu.table.Offer(c.now(), version, document, check)
-	var swapped *configuration
-	if result == rollout.Accepted {
-		swapped = indexConfiguration(version, parsed)
-		c.inForce.set(swapped)
+	if version <= c.inForce.version() {
+		return
 	}
-	c.mu.Unlock()
+	parsed, finding := inventory.Parse(ConfigKey, document)
+	result, swapped := c.swap(version, document, parsed, finding)
 	c.metrics.Config.Add(result.String(), 1)
-	if finding != nil {
+	if result == rollout.Invalid {
 		c.announce(bus.Announcement{
 			Topic: bus.TopicConfig, What: "config-refused", Subject: source,
-			Detail: finding.Error(), Value: float64(version),
+			Detail: describe(finding), Value: float64(version),
 		})
 	}
 	if swapped != nil {
@@ -87,6 +81,28 @@
 	}
 }
 
+// swap brings the parsed document in force if the rollout accepts its version;
+// the configuration is nil if not.
+func (c *configurations) swap(version uint64, document []byte, parsed *inventory.Inventory, finding error) (rollout.OfferResult, *configuration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result := c.mu.table.Offer(c.now(), version, document, func([]byte) error { return finding })
+	if result != rollout.Accepted {
+		return result, nil
+	}
+	swapped := indexConfiguration(version, parsed)
+	c.inForce.set(swapped)
+	return result, swapped
+}
+
+// describe returns the findings of a refused document.
+func describe(finding error) string {
+	if finding == nil {
+		return "too large, or refused before"
+	}
+	return finding.Error()
+}
+
 // watch keeps a watch on the platform's object while this node is one of its
 // failure domain's watchers. The first read is made by every node.
 func (c *configurations) watch(ctx context.Context) {
@@ -220,10 +236,16 @@
 }
 
 // ready reports whether the node may answer callers by what it has in force.
+// Once it may, it always may, and no lock is taken.
 func (c *configurations) ready() bool {
+	if c.wasReady.Load() {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.mu.table.Ready(c.now())
+	ready := c.mu.table.Ready(c.now())
+	c.wasReady.Store(ready)
+	return ready
 }
 
 // newer returns the document in force if its version is above the given one.
--- a/agent/exchange/write.go
+++ b/agent/exchange/write.go
@@ -20,7 +20,9 @@
 	if reply.Outcome == call.Completed {
 		callhttp.CopyHeader(header, reply.Header)
 	}
-	header.Set(callhttp.HeaderRequestID, string(requestID))
+	if requestID != "" {
+		header.Set(callhttp.HeaderRequestID, string(requestID))
+	}
 	header.Set(callhttp.HeaderOutcome, reply.Outcome.String())
 	if reply.Node != "" {
 		header.Set(callhttp.HeaderNode, string(reply.Node))
--- a/agent/members.go
+++ b/agent/members.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,9 @@
 const (
 	// maxPacketBytes is the size of the largest packet that a node reads.
 	maxPacketBytes = 64 << 10
+	// freshFor is how long one tick's word that the table is fresh holds: a node
+	// that ticks no more is paused.
+	freshFor = 2 * time.Second
 	// exchangeTimeout ends an exchange of whole membership tables.
 	exchangeTimeout = 2 * time.Second
 )
@@ -33,6 +37,10 @@
 	announce func(bus.Announcement)
 	// changed is called, without any lock, after services changed.
 	changed func(services []string)
+	started time.Time
+	// freshUntil is a time since started in nanoseconds; it is read for each call
+	// without the lock, which a large exchange may hold for long.
+	freshUntil atomic.Int64
 
 	mu struct {
 		sync.Mutex
@@ -87,7 +95,18 @@
 }
 
 func (m *members) tick() {
-	m.locked(func(t *membership.Table) []membership.Message { return t.Tick(m.now()) })
+	now := m.now()
+	fresh := false
+	m.locked(func(t *membership.Table) []membership.Message {
+		messages := t.Tick(now)
+		fresh = t.Fresh(now)
+		return messages
+	})
+	if fresh {
+		m.freshUntil.Store(int64(now.Sub(m.started) + freshFor))
+	} else {
+		m.freshUntil.Store(0)
+	}
 }
 
 // listen reads packets until the socket is closed.
@@ -178,12 +197,10 @@
 	return m.mu.table.All()
 }
 
-// fresh reports whether what the node knows of the fleet may be acted on: it is
+// fresh reports whether what the node knows of the fleet may be acted on. It may
 // not after a pause, until the node has compared its table with another one's.
 func (m *members) fresh() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.mu.table.Fresh(m.now())
+	return int64(m.now().Sub(m.started)) < m.freshUntil.Load()
 }
 
 func (m *members) len() int {
--- a/agent/server.go
+++ b/agent/server.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
@@ -25,6 +26,8 @@
 const (
 	// maxIssuedKeys bounds the keys that one request can ask for.
 	maxIssuedKeys = 1000
+	// maxControlBytes caps a twirp message; the largest is a whole membership table.
+	maxControlBytes = 16 << 20
 	// callPrefix begins the paths of calls.
 	callPrefix = "/call/"
 )
@@ -48,14 +51,17 @@
 	r.HandleFunc(link.DeliverPath+"{service}/{operation}/*", a.handleDeliver)
 	r.HandleFunc(link.HomePath+"{service}/{operation}", a.handleHome)
 	r.HandleFunc(link.HomePath+"{service}/{operation}/*", a.handleHome)
-	r.Mount(operator.OperatorPathPrefix, operator.NewOperatorServer(&operatorServer{agent: a}))
-	r.Mount(peer.PeerPathPrefix, peer.NewPeerServer(&peerServer{agent: a}))
+	r.Mount(operator.OperatorPathPrefix, bounded(operator.NewOperatorServer(&operatorServer{agent: a})))
+	r.Mount(peer.PeerPathPrefix, bounded(peer.NewPeerServer(&peerServer{agent: a})))
 	r.Get("/healthz", handleAlive)
 	r.Get("/readyz", a.handleReady)
 	r.Handle("/debug/vars", a.metrics.Handler())
 	return r
 }
 
+// bounded refuses control messages that are too large to be meant.
+func bounded(h http.Handler) http.Handler { return http.MaxBytesHandler(h, maxControlBytes) }
+
 func handleAlive(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 
 func (a *Agent) handleReady(w http.ResponseWriter, _ *http.Request) {
@@ -68,6 +74,12 @@
 
 // handleCall serves a call of a caller or a child call of the own target.
 func (a *Agent) handleCall(w http.ResponseWriter, r *http.Request) {
+	release, ok := a.bodies.reserve(r)
+	if !ok {
+		exchange.Write(w, "", exchange.Refuse(call.ReasonOverload, bodiesRetryAfter, 0))
+		return
+	}
+	defer release()
 	in, err := readIncoming(r)
 	if err != nil {
 		a.refuseInput(w, "call", err)
@@ -143,10 +155,11 @@
 
 // handleDeliver serves a peer's call for the own target.
 func (a *Agent) handleDeliver(w http.ResponseWriter, r *http.Request) {
-	request, ok := a.readPeerCall(w, r)
+	request, release, ok := a.readPeerCall(w, r)
 	if !ok {
 		return
 	}
+	defer release()
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
 	exchange.WriteToPeer(w, request.Call.Request, a.delivery.serve(r.Context(), request))
@@ -154,10 +167,11 @@
 
 // handleHome serves a peer's call whose key has its home here.
 func (a *Agent) handleHome(w http.ResponseWriter, r *http.Request) {
-	request, ok := a.readPeerCall(w, r)
+	request, release, ok := a.readPeerCall(w, r)
 	if !ok {
 		return
 	}
+	defer release()
 	key, err := claim.ParseKey(request.Call.Key)
 	if err != nil {
 		a.refuseInput(w, "key", err)
@@ -184,28 +198,36 @@
 }
 
 // readPeerCall reads a call with its envelope. A call that was meant for another
-// instance, as one that had this address before, is refused as not run.
-func (a *Agent) readPeerCall(w http.ResponseWriter, r *http.Request) (*exchange.Request, bool) {
+// instance, as one that had this address before, is refused as not run. If ok,
+// release must be called when the call has been answered.
+func (a *Agent) readPeerCall(w http.ResponseWriter, r *http.Request) (request *exchange.Request, release func(), ok bool) {
 	envelope, err := callhttp.ReadEnvelope(r.Header, a.now())
 	if err != nil {
 		a.refuseInput(w, "peer-call", err)
-		return nil, false
+		return nil, nil, false
 	}
-	request, err := readRequest(r)
-	if err != nil {
+	a.ring.observe(envelope.Lamport)
+	refuse := func(reason call.Reason, retryAfter time.Duration) {
+		refusal := exchange.Refuse(reason, retryAfter, envelope.Call.Grant)
+		exchange.WriteToPeer(w, envelope.Call.Request, refusal)
+	}
+	if envelope.Instance != a.self.ID {
+		refuse(call.ReasonDraining, 0)
+		return nil, nil, false
+	}
+	if release, ok = a.bodies.reserve(r); !ok {
+		refuse(call.ReasonOverload, bodiesRetryAfter)
+		return nil, nil, false
+	}
+	if request, err = readRequest(r); err != nil {
+		release()
 		a.refuseInput(w, "peer-call", err)
-		return nil, false
+		return nil, nil, false
 	}
 	request.Call = envelope.Call
 	request.Call.Service = chi.URLParam(r, "service")
 	request.Call.Operation = chi.URLParam(r, "operation")
-	a.ring.observe(envelope.Lamport)
-	if envelope.Instance != a.self.ID {
-		refusal := exchange.Refuse(call.ReasonDraining, 0, request.Call.Grant)
-		exchange.WriteToPeer(w, request.Call.Request, refusal)
-		return nil, false
-	}
-	return request, true
+	return request, release, true
 }
 
 // issuedKeys is the answer to POST /keys/{service}.
--- a/agent/target.go
+++ b/agent/target.go
@@ -16,7 +16,7 @@
 
 const (
 	// targetLease is how long an announcement of the target holds.
-	targetLease = 5 * time.Second
+	targetLease = 3 * time.Second
 	// maxAnnouncementBytes caps the body of an announcement.
 	maxAnnouncementBytes = 4 << 10
 )
