agent, routing: hedge only one slow target, never a service that stalls or with too few attempts

Change: a target's own failure (5xx) doesn't end the other try; the node asks again whether a hedge may be sent when its time has come, and no hedge is sent while several calls are in flight and none completes; each of the two tries gets half of the attempts, so a hedge needs twice what the operation is known to spend. Before it, every hop of a calm chain passed on only half of its attempts.

The node of a target refuses what child calls would refuse, before the target works, and a child call is refused only by the queue of its target.

--- a/agent/delivery.go
+++ b/agent/delivery.go
@@ -26,6 +26,8 @@
 	link    *link.Link
 	ring    *ringTable
 	metrics *metrics.Set
+	// subtree holds the levels that the own target's child calls met lately.
+	subtree *levelTable
 
 	mu struct {
 		sync.Mutex
@@ -40,6 +42,7 @@
 	d := &delivery{
 		now: a.now, config: a.inForce, target: a.target, parents: a.parents,
 		link: l, ring: a.ring, metrics: a.metrics,
+		subtree: &levelTable{levels: admission.NewLevels()},
 	}
 	d.mu.queue = admission.NewQueue(admission.DefaultConfig(0), a.now())
 	d.mu.waiters = make(map[admission.TicketID]chan admission.Verdict)
@@ -53,6 +56,9 @@
 	if !ok {
 		return d.stamp(exchange.Refuse(call.ReasonDraining, 0, r.Call.Grant), r.Call.Caller)
 	}
+	if level := d.subtree.check(d.now(), &r.Call); !level.Admit {
+		return d.refuseForSubtree(r, level)
+	}
 	ticket, verdict := d.queueUp(ctx, &r.Call)
 	if verdict.Kind != admission.Start {
 		d.ring.call(timeline.Refused, &r.Call, d.className(&r.Call), verdict.Reason.String())
@@ -62,6 +68,18 @@
 	return d.run(ctx, r, address, ticket)
 }
 
+// refuseForSubtree refuses a call that would be refused after the own target had
+// worked for it. Entry nodes that learn of a level only now and then, or probe a
+// closed one, so cost the target nothing.
+func (d *delivery) refuseForSubtree(r *exchange.Request, level admission.LevelVerdict) *exchange.Reply {
+	reason := call.ReasonOverload
+	d.ring.call(timeline.Refused, &r.Call, d.className(&r.Call), reason.String())
+	d.metrics.Delivered.Add(reason.String(), 1)
+	reply := exchange.Refuse(reason, level.RetryAfter, r.Call.Grant)
+	reply.Level = level.Level
+	return d.stamp(reply, r.Call.Caller)
+}
+
 // queueUp waits for the queue's verdict on the call.
 func (d *delivery) queueUp(ctx context.Context, c *call.Call) (admission.TicketID, admission.Verdict) {
 	verdicts := make(chan admission.Verdict, 1)
@@ -139,6 +157,7 @@
 		reply.Unspent = unspent
 	}
 	reply.Level = reply.Level.Stricter(level)
+	d.subtree.observe(d.now(), &r.Call, reply.Level)
 	d.metrics.Delivered.Add(reply.Outcome.String(), 1)
 	if reply.Outcome == call.Completed {
 		d.ring.call(timeline.Completed, &r.Call, d.className(&r.Call), "")
--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -165,8 +165,14 @@
 	return d.hedge(ctx, t, after)
 }
 
+// hedgeAfter returns when a second try may be sent beside the first. The grant
+// must suffice for both, as each gets half of it.
 func (d *dispatcher) hedgeAfter(t *trial) (time.Duration, bool) {
-	if !t.op.Repeatable || t.tries > 1 || t.pot.Left() < 2 {
+	if !t.op.Repeatable || t.tries > 1 {
+		return 0, false
+	}
+	need, known := d.attempts.need(t.request.Call.Service, t.request.Call.Operation)
+	if !known || t.pot.Left() < 2*need {
 		return 0, false
 	}
 	return d.routes.hedgeAfter(d.now(), t.request.Call.Service, t.request.Call.Operation)
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -107,8 +107,10 @@
 func (e *entry) forward(ctx context.Context, r *exchange.Request, op *inventory.Operation) *exchange.Reply {
 	c := &r.Call
 	e.ring.call(timeline.Received, c, e.className(c), "")
+	// Work has been done for a child call already, so only the queue of the
+	// called target refuses it.
 	verdict := e.levels.check(e.now(), c)
-	if !verdict.Admit {
+	if !verdict.Admit && c.Depth == 0 {
 		reply := exchange.Refuse(call.ReasonOverload, verdict.RetryAfter, c.Grant)
 		reply.Level = verdict.Level
 		return reply
--- a/agent/hedge.go
+++ b/agent/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -35,6 +36,9 @@
 		return settle(t, first)
 	case <-timer.C:
 	}
+	if !d.routes.mayHedge(d.now(), t.request.Call.Service) {
+		return settle(t, <-done)
+	}
 	second := d.launch(ctx, t, append(slices.Clone(t.excluded), first.to), t.pot.Left(), done)
 	if second == nil {
 		return settle(t, <-done)
@@ -64,13 +68,17 @@
 }
 
 // firstComplete returns the first complete answer of two tries, or the answer
-// of the later one if neither completes.
+// of the later one if neither completes. An answer by which the target says that
+// it failed doesn't end the other try.
 func firstComplete(t *trial, first, second *hedgeTry, done <-chan *hedgeTry) *exchange.Reply {
 	winner := <-done
 	if winner.reply.Outcome != call.Completed {
 		settle(t, winner)
 		return settle(t, <-done)
 	}
+	if winner.reply.Status >= http.StatusInternalServerError {
+		return otherThan(t, winner, done)
+	}
 	loser := first
 	if winner == first {
 		loser = second
@@ -83,6 +91,20 @@
 	return settle(t, winner)
 }
 
+// otherThan returns the answer of the other try, or the failed one if the other
+// does not complete.
+func otherThan(t *trial, failed *hedgeTry, done <-chan *hedgeTry) *exchange.Reply {
+	other := <-done
+	if other.reply.Outcome == call.Completed {
+		t.pot.Return(failed.reply.Unspent)
+		failed.cancel()
+		_ = failed.reply.Body.Close()
+		return settle(t, other)
+	}
+	settle(t, other)
+	return settle(t, failed)
+}
+
 // settle returns the try's unspent attempts to the call and keeps the try's
 // context until its answer has been read.
 func settle(t *trial, try *hedgeTry) *exchange.Reply {
--- a/agent/tables.go
+++ b/agent/tables.go
@@ -116,6 +116,12 @@
 	t.table.End(now, id, s)
 }
 
+func (t *routeTable) mayHedge(now time.Time, service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.MayHedge(now, service)
+}
+
 func (t *routeTable) hedgeAfter(now time.Time, service, operation string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,6 +164,13 @@
 	return t.needs.Share(service, operation, left)
 }
 
+// need returns the attempts that calls of an operation were seen to spend.
+func (t *attemptTable) need(service, operation string) (int, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.needs.Need(service, operation)
+}
+
 // completed notes a completed call and the attempts that it took.
 func (t *attemptTable) completed(now time.Time, c *call.Call, spent, percent int) {
 	t.mu.Lock()
--- a/attempt/needs.go
+++ b/attempt/needs.go
@@ -1,5 +1,7 @@
 package attempt
 
+import "math"
+
 // MaxNeeds bounds the operations whose need is remembered.
 const MaxNeeds = 1024
 
@@ -45,20 +47,22 @@
 	n.spent[key] = value
 }
 
+// Need returns the attempts that calls of an operation are known to spend.
+func (n *Needs) Need(service, operation string) (int, bool) {
+	known, ok := n.spent[needKey{service, operation}]
+	return int(math.Ceil(known)), ok
+}
+
 // Share returns how many of the attempts that are left a call should be passed:
 // what its operation is known to need with a margin, or all but an eighth.
 func (n *Needs) Share(service, operation string, left int) int {
 	if left <= 1 {
 		return max(left, 0)
 	}
-	known, ok := n.spent[needKey{service, operation}]
+	need, ok := n.Need(service, operation)
 	if !ok {
 		return left - max(1, left/keptDivisor)
 	}
-	need := int(known)
-	if float64(need) < known {
-		need++
-	}
 	margin := 1 + need/marginDivisor
 	return min(left, need+margin)
 }
--- a/routing/service.go
+++ b/routing/service.go
@@ -15,6 +15,8 @@
 	hedgeBurst   = 20.0
 	hedgeSamples = 20          // answers before the first hedge
 	calmAfter    = time.Second // time without a refusal for overload before hedges are sent
+	stallCalls   = 4           // calls in flight from which a pause tells something
+	stallGaps    = 4.0         // usual times between two answers that are a pause
 	hedgeLoad    = 0.8         // used part of the slots up to which hedges are sent
 )
 
@@ -56,9 +58,10 @@
 	known      bool // a first list has been set
 	operations map[string]int32
 	latencies  []latency
-	usual      float64 // seconds, over all operations
-	overload   time.Time
-	hedges     float64 // hedges that may be sent
+	usual      float64   // seconds, over all operations
+	overload   time.Time // last refusal for overload
+	completed  time.Time // last completed call
+	hedges     float64   // hedges that may be sent
 	inFlight   int
 	begun      uint64 // calls sent so far
 	slow       int    // targets that are set aside as slow
@@ -99,12 +102,29 @@
 	return ratio
 }
 
+// mayHedge reports whether calls may be sent a second time at all. While no
+// instance answers, it is not one of them that is slow, and hedges would only
+// add to the load.
+func (s *service) mayHedge(now time.Time) bool {
+	if now.Sub(s.overload) < calmAfter || s.hedges < 1 || s.stalled(now) {
+		return false
+	}
+	return s.slots == 0 || float64(s.inFlight) <= hedgeLoad*float64(s.slots)
+}
+
+// stalled reports whether no call has completed for several times the usual
+// time between two.
+func (s *service) stalled(now time.Time) bool {
+	if s.inFlight < stallCalls {
+		return false
+	}
+	gap := s.usual / float64(s.inFlight)
+	return now.Sub(s.completed).Seconds() > stallGaps*gap
+}
+
 // hedgeAfter returns after how long a call may be sent a second time.
 func (s *service) hedgeAfter(now time.Time, operation string) (time.Duration, bool) {
-	if now.Sub(s.overload) < calmAfter || s.hedges < 1 {
-		return 0, false
-	}
-	if s.slots > 0 && float64(s.inFlight) > hedgeLoad*float64(s.slots) {
+	if !s.mayHedge(now) {
 		return 0, false
 	}
 	l := s.latencyOf(operation)
--- a/routing/table.go
+++ b/routing/table.go
@@ -332,6 +332,7 @@
 	}
 	ratio := 0.0
 	if s.Outcome == call.Completed && s.Latency > 0 {
+		service.completed = now
 		ratio = service.observe(s.Operation, s.Latency)
 	}
 	known.end(now, s, ratio)
@@ -356,6 +357,13 @@
 	return s.hedgeAfter(now, operation)
 }
 
+// MayHedge reports whether a hedge may be sent now; it is to be asked again when
+// the time that HedgeAfter returned has passed.
+func (t *Table) MayHedge(now time.Time, name string) bool {
+	s, ok := t.services[name]
+	return ok && s.mayHedge(now)
+}
+
 // Hedged counts a hedge that was sent.
 func (t *Table) Hedged(name string) {
 	if s, ok := t.services[name]; ok {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -289,3 +289,55 @@
 		})
 	}
 }
+
+func TestHedges(t *testing.T) {
+	Convey("Given a service whose calls usually take 10 ms", t, func() {
+		table := routing.NewTable(routing.Config{}, "a", "bayern", 1)
+		table.SetInstances(begin, "search", instances(3, "a"))
+		now := begin
+		finish := func(id fleet.InstanceID, s routing.Sample) {
+			s.Operation, s.Latency = "plot", 10*time.Millisecond
+			table.End(now, id, s)
+		}
+		for range 100 {
+			now = now.Add(10 * time.Millisecond)
+			chosen, _ := table.Choose(now, "search", routing.Ask{Operation: "plot"})
+			table.Begin(now, chosen.ID)
+			finish(chosen.ID, routing.Sample{Outcome: call.Completed})
+		}
+		Convey("a call may be hedged after twice that", func() {
+			after, ok := table.HedgeAfter(now, "search", "plot")
+			So(ok, ShouldBeTrue)
+			So(after, ShouldBeGreaterThanOrEqualTo, 20*time.Millisecond)
+		})
+		Convey("not while no instance answers any of several calls", func() {
+			for range 5 {
+				chosen, _ := table.Choose(now, "search", routing.Ask{Operation: "plot"})
+				table.Begin(now, chosen.ID)
+			}
+			So(table.MayHedge(now.Add(time.Millisecond), "search"), ShouldBeTrue)
+			So(table.MayHedge(now.Add(20*time.Millisecond), "search"), ShouldBeFalse)
+		})
+		Convey("not for a second after a refusal for overload", func() {
+			table.Begin(now, "a0")
+			finish("a0", routing.Sample{Outcome: call.NotRun, Reason: call.ReasonOverload})
+			So(table.MayHedge(now.Add(900*time.Millisecond), "search"), ShouldBeFalse)
+			So(table.MayHedge(now.Add(1100*time.Millisecond), "search"), ShouldBeTrue)
+		})
+		Convey("and never for more than a small part of the calls", func() {
+			for table.MayHedge(now, "search") {
+				table.Hedged("search")
+			}
+			sent := 0
+			for range 1000 {
+				table.Begin(now, "a0")
+				finish("a0", routing.Sample{Outcome: call.Completed})
+				if table.MayHedge(now, "search") {
+					table.Hedged("search")
+					sent++
+				}
+			}
+			So(sent, ShouldBeBetweenOrEqual, 10, 20)
+		})
+	})
+}
