--- a/routing/service.go
+++ b/routing/service.go
@@ -102,6 +102,16 @@
 	return ratio
 }
 
+// leastRatio returns the ratio to the usual latency that a call without an answer
+// has at least, or 0 if that tells nothing.
+func (s *service) leastRatio(operation string, spent time.Duration) float64 {
+	usual := s.latencyOf(operation).usual
+	if usual == 0 || spent.Seconds() < slownessFloor*usual {
+		return 0
+	}
+	return spent.Seconds() / usual
+}
+
 // mayHedge reports whether calls may be sent a second time at all. While no
 // instance answers, it is not one of them that is slow, and hedges would only
 // add to the load.
--- a/routing/table.go
+++ b/routing/table.go
@@ -335,6 +335,9 @@
 		service.completed = now
 		ratio = service.observe(s.Operation, s.Latency)
 	}
+	if s.Cancelled {
+		ratio = service.leastRatio(s.Operation, s.Latency)
+	}
 	known.end(now, s, ratio)
 	if s.ConnectFailed {
 		known.connectFailed(now, t.random.Float64())
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -318,6 +318,16 @@
 			So(table.MayHedge(now.Add(time.Millisecond), "search"), ShouldBeTrue)
 			So(table.MayHedge(now.Add(20*time.Millisecond), "search"), ShouldBeFalse)
 		})
+		Convey("an instance whose calls are given up for hedges again and again is set aside", func() {
+			for range 10 {
+				table.Begin(now, "a0")
+				table.End(now, "a0", routing.Sample{Operation: "plot", Latency: 25 * time.Millisecond, Cancelled: true})
+			}
+			for range 50 {
+				chosen, _ := table.Choose(now, "search", routing.Ask{Operation: "plot"})
+				So(chosen.ID, ShouldNotEqual, fleet.InstanceID("a0"))
+			}
+		})
 		Convey("not for a second after a refusal for overload", func() {
 			table.Begin(now, "a0")
 			finish("a0", routing.Sample{Outcome: call.NotRun, Reason: call.ReasonOverload})
