--- a/routing/table.go
+++ b/routing/table.go
@@ -335,7 +335,7 @@
 		service.completed = now
 		ratio = service.observe(s.Operation, s.Latency)
 	}
-	if s.Cancelled {
+	if s.Outcome == call.Unknown && !s.ConnectFailed {
 		ratio = service.leastRatio(s.Operation, s.Latency)
 	}
 	known.end(now, s, ratio)
