--- a/claim/commit.go
+++ b/claim/commit.go
@@ -51,20 +51,19 @@
 // in one conditional write. A write without any still settles the earlier ones
 // that expect the same version: once it is in, they can't be.
 func (h *Home) commit(now time.Time, s *shard) []Action {
-	drops := h.collectReleases(now, s)
-	next := s.ledger.after(s.ledger.nextFloor(now), drops)
-	claims, actions := h.collectClaims(s, next)
+	c := &change{floorMillis: s.ledger.nextFloor(now), drops: h.collectReleases(now, s)}
+	actions := h.collectClaims(s, c)
 	settles := s.unsettled && len(s.waiting) > 0
-	if claims == 0 && len(drops) == 0 && !settles {
+	if len(c.adds) == 0 && len(c.drops) == 0 && !settles {
 		return actions
 	}
 	h.lastToken++
 	h.outage.probing()
 	s.pace.started(now)
-	s.write = &write{token: h.lastToken, version: s.version, next: next}
-	value := next.encode()
+	s.write = &write{token: h.lastToken, version: s.version, change: c}
+	value := s.ledger.encodeWith(c)
 	h.stats.Writes++
-	h.stats.WrittenClaims += uint64(claims)
+	h.stats.WrittenClaims += uint64(len(c.adds))
 	h.stats.WrittenBytes += uint64(len(value))
 	return append(actions, Action{
 		Kind:          Write,
@@ -93,28 +92,27 @@
 	return drops
 }
 
-// collectClaims adds the claims of the waiting keys to the next ledger and
-// returns their number. Keys for which it has no room are refused.
-func (h *Home) collectClaims(s *shard, next *ledger) (int, []Action) {
-	claims := 0
+// collectClaims adds the claims of the waiting keys to the change. Keys for
+// which the shard has no room are refused.
+func (h *Home) collectClaims(s *shard, c *change) []Action {
+	room, undated := s.ledger.room(c)
 	var actions []Action
 	for _, r := range s.waiting {
 		if r.state == releasing || len(r.waiters) == 0 {
 			continue
 		}
 		switch {
-		case len(next.entries) >= MaxEntries:
+		case len(c.adds) >= room:
 			actions = append(actions, h.refuseAll(r, call.ReasonPlatform, minRetainAge)...)
-		case r.key.millis == 0 && next.undated >= MaxUndated:
+		case r.key.millis == 0 && c.undated >= undated:
 			actions = append(actions, h.refuseAll(r, call.ReasonKey, 0)...)
 		default:
 			r.inDoubt = true
-			next.add(r.entry(h.self))
-			claims++
+			c.add(r.entry(h.self))
 		}
 	}
 	h.prune(s)
-	return claims, actions
+	return actions
 }
 
 // ReadDone reports a read: the object's version and value, version 0 if it is
@@ -178,7 +176,7 @@
 
 func (h *Home) written(now time.Time, s *shard, w *write, newVersion uint64) []Action {
 	s.version = newVersion
-	s.ledger = w.next
+	s.ledger.apply(w.change)
 	s.seenAt = now
 	s.settle()
 	for _, r := range s.waiting {
--- a/claim/home_test.go
+++ b/claim/home_test.go
@@ -34,6 +34,15 @@
 	return mustKey(id.String())
 }
 
+// sameShard returns another key of the key's shard.
+func sameShard(key Key) Key {
+	for number := byte(2); ; number++ {
+		if other := datedKey(epoch, number); other.Shard() == key.Shard() {
+			return other
+		}
+	}
+}
+
 func kinds(actions []Action) []ActionKind {
 	var list []ActionKind
 	for _, a := range actions {
@@ -100,6 +109,17 @@
 			only(other.Ask(epoch, 1, key, deadline), Read)
 			only(other.ReadDone(epoch, write.Shard, 2, release.Value, ReadOK), Write)
 		})
+		Convey("a key that ran with an unknown outcome is not run again, also when its claim is read back", func() {
+			only(h.WriteDone(epoch, write.Shard, write.Token, Written, 1), Run)
+			h.Ran(epoch, key, RunResult{Outcome: call.Unknown})
+			now := epoch.Add(DefaultCommitInterval)
+			other := only(h.Ask(now, 2, sameShard(key), deadline), Write)
+			only(h.WriteDone(now, write.Shard, other.Token, Conflict, 0), Read)
+			So(h.Ask(now, 3, key, deadline), ShouldBeEmpty)
+			actions := h.ReadDone(now, write.Shard, 2, write.Value, ReadOK)
+			So(kinds(actions), ShouldResemble, []ActionKind{AnswerUnknown, Write})
+			So(actions[0].Waiter, ShouldEqual, WaiterID(3))
+		})
 		Convey("a release whose answer is lost is settled before the key may run here again", func() {
 			only(h.WriteDone(epoch, write.Shard, write.Token, Written, 1), Run)
 			h.Ran(epoch, key, RunResult{Outcome: call.NotRun, Reason: call.ReasonOverload})
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -21,6 +21,8 @@
 	minRetainAge = time.Minute
 	// ageOutEntries is the number of claims from which old ones are dropped.
 	ageOutEntries = 256
+	// ageOutShare divides the claims: old ones are dropped when they are as many.
+	ageOutShare = 16
 	// nearlyFullEntries is the number of claims from which minRetainAge holds.
 	nearlyFullEntries = MaxEntries * 3 / 4
 )
@@ -76,23 +78,71 @@
 	}
 }
 
-// after returns a copy of the ledger with a higher floor and without the claims
-// that are dropped.
-func (l *ledger) after(floorMillis int64, drops map[Fingerprint]bool) *ledger {
-	next := newLedger()
-	next.floorMillis = floorMillis
-	next.entries = make([]entry, 0, len(l.entries)+1)
-	for _, e := range l.entries {
-		aged := e.millis != 0 && e.millis < floorMillis
-		if !aged && !drops[e.fingerprint] {
-			next.add(e)
+// change is what one write changes of a ledger.
+type change struct {
+	floorMillis int64
+	drops       map[Fingerprint]bool // claims that are given back
+	adds        []entry
+	undated     int // of the adds
+}
+
+func (c *change) add(e entry) {
+	c.adds = append(c.adds, e)
+	if e.millis == 0 {
+		c.undated++
+	}
+}
+
+// keeps reports whether the change leaves a claim in the ledger.
+func (c *change) keeps(e *entry) bool {
+	aged := e.millis != 0 && e.millis < c.floorMillis
+	return !aged && !c.drops[e.fingerprint]
+}
+
+// onlyAdds reports whether the change leaves every claim in the ledger.
+func (l *ledger) onlyAdds(c *change) bool {
+	return c.floorMillis == l.floorMillis && len(c.drops) == 0
+}
+
+// room returns how many claims, and how many undated ones, fit into the ledger
+// once the change has dropped what it drops.
+func (l *ledger) room(c *change) (claims, undated int) {
+	if l.onlyAdds(c) {
+		return MaxEntries - len(l.entries), MaxUndated - l.undated
+	}
+	claims, undated = MaxEntries, MaxUndated
+	for i := range l.entries {
+		if !c.keeps(&l.entries[i]) {
+			continue
+		}
+		claims--
+		if l.entries[i].millis == 0 {
+			undated--
 		}
 	}
-	return next
+	return claims, undated
+}
+
+// apply makes the change.
+func (l *ledger) apply(c *change) {
+	if !l.onlyAdds(c) {
+		kept := newLedger()
+		for i := range l.entries {
+			if c.keeps(&l.entries[i]) {
+				kept.add(l.entries[i])
+			}
+		}
+		*l = *kept
+		l.floorMillis = c.floorMillis
+	}
+	for _, e := range c.adds {
+		l.add(e)
+	}
 }
 
 // nextFloor returns the floor that the next write should set: just above the
-// newest claim that is old enough to be dropped.
+// newest claim that is old enough to be dropped. It stays where it is for a few
+// of them.
 func (l *ledger) nextFloor(now time.Time) int64 {
 	if len(l.entries) < ageOutEntries {
 		return l.floorMillis
@@ -103,29 +153,49 @@
 	}
 	oldest := now.Add(-age).UnixMilli()
 	floor := l.floorMillis
-	for _, e := range l.entries {
-		if e.millis != 0 && e.millis < oldest {
-			floor = max(floor, e.millis+1)
+	old := 0
+	for i := range l.entries {
+		if millis := l.entries[i].millis; millis != 0 && millis < oldest {
+			floor = max(floor, millis+1)
+			old++
 		}
 	}
+	if old < len(l.entries)/ageOutShare {
+		return l.floorMillis
+	}
 	return floor
 }
 
-func (l *ledger) encode() []byte {
-	value := make([]byte, 0, headerBytes+len(l.entries)*entryBytes)
-	value = binary.LittleEndian.AppendUint32(value, ledgerMagic)
-	value = binary.LittleEndian.AppendUint64(value, uint64(l.floorMillis))
-	value = binary.LittleEndian.AppendUint32(value, uint32(len(l.entries)))
-	for _, e := range l.entries {
-		value = append(value, e.fingerprint[:]...)
-		value = binary.LittleEndian.AppendUint64(value, uint64(e.millis))
-		value = binary.LittleEndian.AppendUint64(value, uint64(e.claimant))
-		value = binary.LittleEndian.AppendUint64(value, e.sequence)
+// encodeWith returns the object's value once the change is made.
+func (l *ledger) encodeWith(c *change) []byte {
+	count := 0
+	size := headerBytes + (len(l.entries)+len(c.adds))*entryBytes
+	value := make([]byte, headerBytes, size)
+	unchanged := l.onlyAdds(c)
+	for i := range l.entries {
+		if unchanged || c.keeps(&l.entries[i]) {
+			value = appendEntry(value, &l.entries[i])
+			count++
+		}
 	}
+	for i := range c.adds {
+		value = appendEntry(value, &c.adds[i])
+		count++
+	}
+	binary.LittleEndian.PutUint32(value, ledgerMagic)
+	binary.LittleEndian.PutUint64(value[4:], uint64(c.floorMillis))
+	binary.LittleEndian.PutUint32(value[12:], uint32(count))
 	return value
 }
 
-// decodeLedger reads what encode wrote. An absent object is an empty value.
+func appendEntry(value []byte, e *entry) []byte {
+	value = append(value, e.fingerprint[:]...)
+	value = binary.LittleEndian.AppendUint64(value, uint64(e.millis))
+	value = binary.LittleEndian.AppendUint64(value, uint64(e.claimant))
+	return binary.LittleEndian.AppendUint64(value, e.sequence)
+}
+
+// decodeLedger reads what encodeWith wrote. An absent object is an empty value.
 func decodeLedger(value []byte) (*ledger, error) {
 	l := newLedger()
 	if len(value) == 0 {
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -25,7 +25,7 @@
 type write struct {
 	token   uint64
 	version uint64 // the version that it expects
-	next    *ledger
+	change  *change
 }
 
 // busy reports whether a platform call of the shard is in flight.
