Time line page: answers of targets that failed are no completed requests

Seen on the page of make demo: 40 browsing requests a second completed during the surge, where the table has 5 whole ones: a target whose child call is refused answers with a status of its own. The page tells them apart by the status in the detail of completed events, which the daemon doesn't record yet.

--- a/command/timeline/page/page.go
+++ b/command/timeline/page/page.go
@@ -87,10 +87,14 @@
 
 func classPanels(events []timeline.Event, s span) []panel {
 	requests := requestsOf(events)
-	return []panel{
+	panels := []panel{
 		{title: "Whole requests completed a second", lines: requestRates(requests, s, completed), note: "no completed requests"},
 		{title: "Whole requests refused a second", lines: requestRates(requests, s, refused), note: "nothing refused"},
 	}
+	if lines := requestRates(requests, s, failed); len(lines) > 0 {
+		panels = append(panels, panel{title: "Whole requests that failed at a target a second", lines: lines})
+	}
+	return panels
 }
 
 // servicePanels leaves out what didn't change.
--- a/command/timeline/page/request.go
+++ b/command/timeline/page/request.go
@@ -14,6 +14,7 @@
 const (
 	open      ending = iota // still in flight, unknown, or its events are lost
 	refused                 // its root call was refused at the node that it entered
+	failed                  // its target answered that it failed, as when a child call was refused
 	completed               // its root call completed
 )
 
@@ -58,9 +59,23 @@
 		r.class = e.Class
 	}
 	switch {
+	case e.Kind == timeline.Completed && serverError(e.Detail):
+		r.finish(failed, e)
 	case e.Kind == timeline.Completed:
-		r.end, r.at = completed, e.Time
-	case e.Kind == timeline.Refused && e.Node == r.entry && r.end != completed:
-		r.end, r.at = refused, e.Time
+		r.finish(completed, e)
+	case e.Kind == timeline.Refused && e.Node == r.entry:
+		r.finish(refused, e)
 	}
 }
+
+// finish notes how a try ended; a better end of another try goes before it.
+func (r *request) finish(end ending, e *timeline.Event) {
+	if end >= r.end {
+		r.end, r.at = end, e.Time
+	}
+}
+
+// serverError reports whether the detail is an HTTP status from 500 to 599.
+func serverError(detail string) bool {
+	return len(detail) == 3 && detail[0] == '5'
+}
--- a/command/timeline/page/request_test.go
+++ b/command/timeline/page/request_test.go
@@ -24,11 +24,21 @@
 			event("r2", "entry", timeline.Refused, "child"),
 			event("r3", "entry", timeline.Received, "root"),
 			event("r3", "entry", timeline.Refused, "root"),
+			event("r4", "entry", timeline.Received, "root"),
+			withDetail(event("r4", "target", timeline.Completed, "root"), "502"),
+			event("r5", "entry", timeline.Received, "root"),
+			withDetail(event("r5", "target", timeline.Completed, "root"), "200"),
+			withDetail(event("r5", "other", timeline.Completed, "root"), "503"),
 		})
 		ends := make([]ending, 0, len(requests))
 		for _, r := range requests {
 			ends = append(ends, r.end)
 		}
-		So(ends, ShouldResemble, []ending{completed, open, refused})
+		So(ends, ShouldResemble, []ending{completed, open, refused, failed, completed})
 	})
 }
+
+func withDetail(e timeline.Event, detail string) timeline.Event {
+	e.Detail = detail
+	return e
+}
--- a/command/timeline/page/series.go
+++ b/command/timeline/page/series.go
@@ -123,7 +123,7 @@
 func merged(events []timeline.Event, s span, kind timeline.Kind, merge func(map[fleet.InstanceID]float64) float64) []series {
 	byTime := make([]timeline.Event, 0)
 	for i := range events {
-		if events[i].Kind == kind {
+		if events[i].Kind == kind && events[i].Service != "" {
 			byTime = append(byTime, events[i])
 		}
 	}
--- a/timeline/kind.go
+++ b/timeline/kind.go
@@ -16,7 +16,8 @@
 	Sent
 	// Started: the call was handed to the target. Value: calls running.
 	Started
-	// Completed: the target's whole answer came back. Value: seconds it took.
+	// Completed: the target's whole answer came back. Detail: its HTTP status.
+	// Value: seconds it took.
 	Completed
 	// Unknown: the call was handed over and no whole answer came back.
 	Unknown
