--- a/admission/loop_test.go
+++ b/admission/loop_test.go
@@ -46,7 +46,9 @@
 	span     time.Duration
 	from     time.Duration // start of the measured part
 	oneClass bool
-	plain    bool // without the layer: first come first served, no levels
+	even     time.Duration // service time of the narrow service, spread by a fifth
+	wait     time.Duration // how long clients wait, patience if zero
+	plain    bool          // without the layer: first come first served, no levels
 }
 
 const (
@@ -248,7 +250,7 @@
 func (w *world) ask(again int, class call.Class, caller string) {
 	r := &request{
 		p: call.PriorityOf(class, call.Rank(w.r.Uint32()>>8)), caller: caller, operation: "work", first: again == w.plan.again, again: again,
-		deadline: w.now.Add(patience),
+		deadline: w.now.Add(w.patience()),
 	}
 	if w.measured() {
 		if r.first {
@@ -259,10 +261,17 @@
 		}
 	}
 	w.out.offers[w.bucket(w.now)]++
-	w.after(patience, func() { w.die(r) })
+	w.after(w.patience(), func() { w.die(r) })
 	w.after(hop, func() { w.enter(r, w.entries[w.r.IntN(entries)]) })
 }
 
+func (w *world) patience() time.Duration {
+	if w.plan.wait > 0 {
+		return w.plan.wait
+	}
+	return patience
+}
+
 // class draws the class of a root request: a tenth are orders.
 func (w *world) class() call.Class {
 	if w.plan.oneClass {
@@ -413,6 +422,9 @@
 		}
 		work := time.Duration(w.r.ExpFloat64() * 0.5 * float64(narrowWork))
 		work += narrowWork / 2
+		if w.plan.even > 0 {
+			work = time.Duration((0.8 + 0.4*w.r.Float64()) * float64(w.plan.even))
+		}
 		w.after(time.Duration(float64(work)*slowed), func() { done(admission.Completed) })
 	}
 	w.after(hop, func() { narrow.arrive(v) })
@@ -474,6 +486,16 @@
 	return f
 }
 
+// sum returns what was offered and what was whole in a range of tenths of a
+// second.
+func (o outcome) sum(from, to int) (offered, whole int) {
+	for bucket := from; bucket < to; bucket++ {
+		offered += o.offers[bucket]
+		whole += o.whole[bucket]
+	}
+	return offered, whole
+}
+
 // edge allows for requests that are in flight when the measured time ends.
 const edge = 0.005
 
@@ -531,11 +553,7 @@
 		out := newWorld(p, 3).run()
 		out.log(t, "slowed by 4 while demand doubles", p)
 		Convey("whole requests equal what is offered within a second", func() {
-			offered, whole := 0, 0
-			for bucket := 60; bucket < 70; bucket++ {
-				offered += out.offers[bucket]
-				whole += out.whole[bucket]
-			}
+			offered, whole := out.sum(60, 70)
 			So(float64(whole)/float64(offered), ShouldBeGreaterThanOrEqualTo, 0.98)
 		})
 	})
@@ -567,3 +585,34 @@
 		So(of(with)/of(before), ShouldBeGreaterThanOrEqualTo, 0.98)
 	})
 }
+
+func TestLoopWithLongCalls(t *testing.T) {
+	Convey("When calls of 120 ms slow by three and demand quadruples for four seconds", t, func() {
+		const most = narrowTargets * narrowSlots / 0.12
+		p := plan{again: 3, span: 9 * time.Second, from: 2 * time.Second, even: 120 * time.Millisecond, wait: 2 * time.Second}
+		surge := func(at time.Duration) bool { return at > 3*time.Second && at < 7*time.Second }
+		p.rate = func(at time.Duration) float64 {
+			if surge(at) {
+				return 2 * most
+			}
+			return most / 2
+		}
+		p.slowed = func(at time.Duration) float64 {
+			if surge(at) {
+				return 3
+			}
+			return 1
+		}
+		out := newWorld(p, 5).run()
+		f := out.log(t, "long calls slowed by 3", p)
+		Convey("orders still complete at first ask", func() {
+			So(f.orders, ShouldBeGreaterThanOrEqualTo, 0.95)
+		})
+		Convey("whole requests equal what is offered within a second", func() {
+			offered, whole := out.sum(80, 90)
+			first, atFirst := out.sum(70, 80)
+			t.Logf("first second after: %d whole of %d offered; next: %d of %d", atFirst, first, whole, offered)
+			So(float64(whole)/float64(offered), ShouldBeGreaterThanOrEqualTo, 0.95)
+		})
+	})
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -122,7 +122,7 @@
 	for _, ref := range t.suspects {
 		r, ok := t.members.get(ref)
 		if ok && r.health == suspect {
-			r.deadline += gap
+			r.deadline = min(r.deadline+gap, t.now+t.cfg.Suspicion) // it may be younger than the pause
 			t.members.put(r)
 		}
 	}
@@ -151,6 +151,14 @@
 	return !paused && !t.catchingUp && !t.isolated()
 }
 
+// Alone reports whether the node knows no other live member, or hears none. The
+// daemon then looks for a peer as at its start: through the seed objects and its
+// settings.
+func (t *Table) Alone(now time.Time) bool {
+	t.clock(now)
+	return t.self.health != left && (t.members.live <= 1 || t.isolated())
+}
+
 // isolated reports whether the silence around the node is longer than any that
 // others' failures explain.
 func (t *Table) isolated() bool {
@@ -347,6 +355,18 @@
 	return all
 }
 
+// DomainMembers returns the ids of the live members of the node's own failure
+// domain, the node included, in the order of their references.
+func (t *Table) DomainMembers() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	t.members.each(func(r *record) {
+		if r.live() && r.who.domain == t.self.who.domain {
+			ids = append(ids, r.who.id)
+		}
+	})
+	return ids
+}
+
 // Get returns the member with the given id.
 func (t *Table) Get(id fleet.InstanceID) (fleet.Instance, bool) {
 	r, ok := t.members.get(referenceOf(id))
