--- a/command/status/report.go
+++ b/command/status/report.go
@@ -86,7 +86,7 @@
 	case len(r.Versions) == 1:
 		return fmt.Sprintf("version %d in force on all of them", r.Versions[0])
 	default:
-		return fmt.Sprintf("versions %v in force, the newest is on its way", r.Versions)
+		return fmt.Sprintf("versions %v in force, not all nodes have the newest yet", r.Versions)
 	}
 }
 
--- a/command/status/status.go
+++ b/command/status/status.go
@@ -37,9 +37,6 @@
 	mostRows    = 100_000
 )
 
-// errGone is noted on members that aren't asked.
-var errGone = errors.New("gone for the other nodes")
-
 // Verb is "gypsumctl status".
 var Verb = command.Verb{Name: "status", Synopsis: synopsis, Run: run}
 
@@ -63,7 +60,8 @@
 	live, gone := node.Split(first.GetMembers())
 	answers := node.Each(ctx, client, live, askStatus)
 	for _, member := range gone {
-		answers = append(answers, node.Answer[*operator.StatusReply]{Member: member, Err: errGone})
+		err := errors.Newf("not asked, as it is %s", member.GetState())
+		answers = append(answers, node.Answer[*operator.StatusReply]{Member: member, Err: err})
 	}
 	r := newReport(*address, answers, *service)
 	if *output == command.JSON {
--- a/command/status/status_test.go
+++ b/command/status/status_test.go
@@ -98,8 +98,8 @@
 		Convey("text names reasons, and what is known of nodes that are gone", func() {
 			_, stdout, _ := runVerbs("status", "-node", a.GetPeerAddress())
 			So(stdout, ShouldContainSubstring, "deadline 16, overload 14")
-			So(stdout, ShouldContainSubstring, "gone for the other nodes")
-			So(stdout, ShouldContainSubstring, "versions [3 4] in force, the newest is on its way")
+			So(stdout, ShouldContainSubstring, "not asked, as it is dead")
+			So(stdout, ShouldContainSubstring, "versions [3 4] in force, not all nodes have the newest yet")
 		})
 		Convey("a service that nobody offers is a failure", func() {
 			status, _, stderr := runVerbs("status", "-node", a.GetPeerAddress(), "-service", "gone")
--- a/command/table/table.go
+++ b/command/table/table.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"unicode"
 )
 
 // columnGap is the number of spaces between two columns.
@@ -24,7 +25,9 @@
 func (t *Table) Row(cells ...any) {
 	row := make([]string, len(cells))
 	for i, cell := range cells {
-		row[i] = clean(fmt.Sprint(cell))
+		if row[i] = Printable(fmt.Sprint(cell)); row[i] == "" {
+			row[i] = "-"
+		}
 	}
 	t.rows = append(t.rows, row)
 }
@@ -43,15 +46,13 @@
 	return writer.Flush()
 }
 
-// clean keeps control characters of a node's answer from the terminal.
-func clean(cell string) string {
-	if cell == "" {
-		return "-"
-	}
+// Printable replaces control characters, so that the answer of a node can't
+// command the terminal.
+func Printable(text string) string {
 	return strings.Map(func(r rune) rune {
-		if r < ' ' || r == 0x7f {
+		if unicode.IsControl(r) {
 			return ' '
 		}
 		return r
-	}, cell)
+	}, text)
 }
--- a/command/timeline/text.go
+++ b/command/timeline/text.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gypsumford/gypsumford/command/table"
 	events "github.com/gypsumford/gypsumford/timeline"
 )
 
@@ -28,12 +29,12 @@
 func line(e *events.Event) string {
 	parts := []string{
 		e.Time.Format(clockLayout),
-		fmt.Sprintf("%-16s", clean(string(e.Node))),
+		fmt.Sprintf("%-16s", table.Printable(string(e.Node))),
 		fmt.Sprintf("%-15s", e.Kind),
 	}
 	for _, part := range []string{string(e.Request), about(e), e.Detail} {
 		if part != "" {
-			parts = append(parts, clean(part))
+			parts = append(parts, table.Printable(part))
 		}
 	}
 	if e.Value != 0 {
@@ -53,13 +54,3 @@
 	}
 	return text
 }
-
-// clean keeps control characters of a node's answer from the terminal.
-func clean(text string) string {
-	return strings.Map(func(r rune) rune {
-		if r < ' ' || r == 0x7f {
-			return ' '
-		}
-		return r
-	}, text)
-}
