--- a/command/apply/apply_test.go
+++ b/command/apply/apply_test.go
@@ -31,6 +31,7 @@
 	late       []byte // value of such a write
 	between    func() // runs once before the next write
 	lost       func() // runs once after a write whose answer is lost
+	wrote      func() // runs after each write, and when a late one has taken effect
 }
 
 func (f *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -54,7 +55,9 @@
 		f.between = nil
 		between()
 	}
+	f.finishLate()
 	status, lost := f.write(r.Header.Get("If-Version"), body)
+	f.notify()
 	if status != http.StatusOK {
 		w.WriteHeader(status)
 		return
@@ -70,13 +73,26 @@
 	w.Header().Set("Version", fmt.Sprint(f.version))
 }
 
-// write applies a write and returns the status, and whether the answer is lost.
-func (f *fakePlatform) write(ifVersion string, body []byte) (status int, lost bool) {
+// finishLate lets a late write take effect.
+func (f *fakePlatform) finishLate() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if f.late != nil {
 		f.version, f.value, f.late = f.version+3, f.late, nil
 	}
+	f.mu.Unlock()
+	f.notify()
+}
+
+func (f *fakePlatform) notify() {
+	if f.wrote != nil {
+		f.wrote()
+	}
+}
+
+// write applies a write and returns the status, and whether the answer is lost.
+func (f *fakePlatform) write(ifVersion string, body []byte) (status int, lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	switch {
 	case f.loseBefore > 0:
 		f.loseBefore--
--- a/command/apply/update.go
+++ b/command/apply/update.go
@@ -15,8 +15,9 @@
 	"github.com/gypsumford/gypsumford/inventory"
 )
 
-// retryPause is the time between two attempts while the platform doesn't answer.
-const retryPause = 250 * time.Millisecond
+// retryPause is the time between two attempts while the platform doesn't answer; a
+// variable, so that tests needn't wait.
+var retryPause = 250 * time.Millisecond
 
 // attemptTimeout is the longest time that one request to the platform takes, so
 // that a request that hangs leaves time to find out what became of it.
