--- a/command/node/node.go
+++ b/command/node/node.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -24,6 +25,8 @@
 	workers = 64
 	// nodeTimeout is the longest time that one node gets to answer.
 	nodeTimeout = 3 * time.Second
+	// maxReplyBytes is the longest answer that is read; 25,000 members fit in it.
+	maxReplyBytes = 8 << 20
 	// idleTimeout closes a connection that is no longer used.
 	idleTimeout = 5 * time.Second
 )
@@ -43,7 +46,27 @@
 // New returns a client.
 func New() *Client {
 	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{Transport: bounded{transport}}}
+}
+
+// bounded is a transport that cuts answers off at maxReplyBytes, so that a
+// faulty node can't fill the memory.
+type bounded struct{ next http.RoundTripper }
+
+// RoundTrip sends the request.
+func (b bounded) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := b.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = boundedBody{io.LimitReader(response.Body, maxReplyBytes), response.Body}
+	return response, nil
+}
+
+// boundedBody reads a part of a body and closes all of it.
+type boundedBody struct {
+	io.Reader
+	io.Closer
 }
 
 // At returns the operators' service of the node with the peer address.
