--- a/command/node/node.go
+++ b/command/node/node.go
@@ -22,11 +22,13 @@
 
 const (
 	// workers is the number of nodes that are asked at once.
-	workers = 64
+	workers = 256
 	// nodeTimeout is the longest time that one node gets to answer.
 	nodeTimeout = 3 * time.Second
 	// maxReplyBytes is the longest answer that is read; 25,000 members fit in it.
 	maxReplyBytes = 8 << 20
+	// maxIdleConnections keeps the open files of a large fleet within usual limits.
+	maxIdleConnections = 64
 	// idleTimeout closes a connection that is no longer used.
 	idleTimeout = 5 * time.Second
 )
@@ -45,7 +47,7 @@
 
 // New returns a client.
 func New() *Client {
-	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
+	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConns: maxIdleConnections, MaxIdleConnsPerHost: 1}
 	return &Client{http: &http.Client{Transport: bounded{transport}}}
 }
 
