--- a/command/verbs/docs_test.go
+++ b/command/verbs/docs_test.go
@@ -40,9 +40,16 @@
 			expect(verb.Name, "`-"+name+"`")
 		}
 	}
-	for _, name := range metricNames(t) {
+	metrics := daemonSources(t, `\b(?:newMap|newInt|Gauge)\("([a-z_]+)"`)
+	if len(metrics) < 15 {
+		t.Fatalf("only %d metrics found", len(metrics))
+	}
+	for _, name := range metrics {
 		expect("metrics", "| `"+name+"` |")
 	}
+	for _, source := range daemonSources(t, `(?:BadInput\.Add\(|refuseInput\(w, )"([a-z-]+)"`) {
+		expect("sources of bad input", "`"+source+"`")
+	}
 	for _, reason := range call.Reasons() {
 		expect("reasons", "| `"+reason.String()+"` |")
 	}
@@ -67,9 +74,9 @@
 	return names
 }
 
-// metricNames finds the metrics that the daemon's sources declare.
-func metricNames(t *testing.T) []string {
-	pattern := regexp.MustCompile(`\b(?:newMap|newInt|Gauge)\("([a-z_]+)"`)
+// daemonSources returns what the pattern's group matches in the daemon's sources.
+func daemonSources(t *testing.T, pattern string) []string {
+	compiled := regexp.MustCompile(pattern)
 	var names []string
 	for _, directory := range []string{"../../agent", "../../agent/metrics"} {
 		files, err := filepath.Glob(filepath.Join(directory, "*.go"))
@@ -81,13 +88,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			for _, match := range pattern.FindAllStringSubmatch(string(source), -1) {
+			for _, match := range compiled.FindAllStringSubmatch(string(source), -1) {
 				names = append(names, match[1])
 			}
 		}
 	}
-	if len(names) < 15 {
-		t.Fatalf("only %d metrics found", len(names))
-	}
 	return names
 }
