--- a/command/timeline/collect.go
+++ b/command/timeline/collect.go
@@ -47,13 +47,13 @@
 	answers := node.Each(ctx, client, live, func(ctx context.Context, at operator.Operator) (nodeEvents, error) {
 		return readNode(ctx, at, filter, limit)
 	})
-	c := collection{Nodes: []nodeResult{}}
+	c := collection{Nodes: []nodeResult{}, Events: []events.Event{}}
 	lists := make([][]events.Event, 0, len(answers))
 	for _, answer := range answers {
 		c.Nodes = append(c.Nodes, newNodeResult(answer))
 		lists = append(lists, answer.Reply.events)
 	}
-	c.Events = events.Merge(lists...)
+	c.Events = append(c.Events, events.Merge(lists...)...)
 	return c, nil
 }
 
--- a/command/timeline/timeline_test.go
+++ b/command/timeline/timeline_test.go
@@ -104,6 +104,8 @@
 			So(html, ShouldNotContainSubstring, "</script><b>")
 			_, json, _ := runVerb("-node", a.PeerAddress, "-o", "json", "-kind", "platform-out")
 			So(json, ShouldContainSubstring, `"kind": "platform-out"`)
+			_, json, _ = runVerb("-node", a.PeerAddress, "-o", "json", "-request", "none")
+			So(json, ShouldContainSubstring, `"events": []`)
 		})
 		Convey("a kind that doesn't exist is a usage error", func() {
 			status, _, stderr := runVerb("-node", a.PeerAddress, "-kind", "nothing")
