--- a/standin/load/stream.go
+++ b/standin/load/stream.go
@@ -19,6 +19,7 @@
 	Class     string // of importance, for the records only
 	Caller    string // business that sends, "" for none
 	Paid      bool   // carries an idempotency key
+	Issued    bool   // the key was issued by a node ahead of need; else it is a UUIDv7
 	Deadline  time.Duration
 	Points    []Point // rate over time, by time
 	Asks      int     // most asks of one request, at least 1
--- a/standin/scenario/parse.go
+++ b/standin/scenario/parse.go
@@ -274,6 +274,8 @@
 			load.Asks = p.count(word)
 		case "polite":
 			load.Polite = true
+		case "issued-keys":
+			load.Issued = true
 		default:
 			p.failf("load: unknown field %q", word)
 			p.rest()
