Measure load reports and the platform's calls

Change: measures reports, platform-reads, platform-writes; the first from the targets' journals, the others from the counts of the platform's stand-in.

--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -23,6 +23,7 @@
 
 	"github.com/gypsumford/gypsumford/standin/answer"
 	"github.com/gypsumford/gypsumford/standin/load"
+	"github.com/gypsumford/gypsumford/standin/platform"
 	"github.com/gypsumford/gypsumford/standin/scenario"
 )
 
@@ -50,8 +51,9 @@
 	Start    time.Time
 	Records  []*load.Record
 	Runs     []TargetRun
-	Late     float64  // share of requests that the source sent late
-	Died     []string // processes that ended by themselves
+	Platform platform.Stats // calls while the load ran
+	Late     float64        // share of requests that the source sent late
+	Died     []string       // processes that ended by themselves
 }
 
 // Run runs the scenario once.
@@ -71,6 +73,10 @@
 		return nil, err
 	}
 	source := newSource(f, options)
+	before, err := f.platformStats(ctx)
+	if err != nil {
+		return nil, err
+	}
 	result := &Result{Scenario: s, Plain: options.Plain, Start: time.Now().Add(100 * time.Millisecond)}
 	actionsCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -81,6 +87,11 @@
 	result.Records = source.Run(ctx, result.Start)
 	cancel()
 	<-done
+	after, err := f.platformStats(ctx)
+	if err != nil {
+		return nil, err
+	}
+	result.Platform = after.Since(before)
 	result.Late = source.Late()
 	result.Died = f.diedProcesses()
 	if err := f.writeTimeLine(ctx); err != nil {
--- a/standin/bench/fleet.go
+++ b/standin/bench/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gypsumford/gypsumford/standin/platform"
 	"github.com/gypsumford/gypsumford/standin/scenario"
 	"github.com/gypsumford/gypsumford/standin/target"
 )
@@ -218,6 +219,22 @@
 	return f.send(ctx, http.MethodPut, "http://"+f.address+"/objects/config/inventory", []byte(document))
 }
 
+// platformStats returns the platform's counts of calls so far.
+func (f *fleet) platformStats(ctx context.Context) (platform.Stats, error) {
+	var stats platform.Stats
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+"/stats", nil)
+	if err != nil {
+		return stats, err
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return stats, err
+	}
+	defer response.Body.Close()
+	err = json.NewDecoder(response.Body).Decode(&stats)
+	return stats, errors.Wrap(err, "platform's stats")
+}
+
 func (f *fleet) send(ctx context.Context, method, url string, body []byte) error {
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(string(body)))
 	if err != nil {
--- a/standin/bench/journals.go
+++ b/standin/bench/journals.go
@@ -19,6 +19,11 @@
 // name returns service/operation.
 func (r *TargetRun) name() string { return r.Service + "/" + r.Operation }
 
+// isCall reports whether the run was that of an operation.
+func (r *TargetRun) isCall() bool {
+	return r.Operation != target.ProbeRun && r.Operation != target.ReportRun
+}
+
 func (f *fleet) readJournals() ([]TargetRun, error) {
 	var all []TargetRun
 	for _, in := range f.instances {
--- a/standin/bench/measure.go
+++ b/standin/bench/measure.go
@@ -8,6 +8,7 @@
 
 	"github.com/gypsumford/gypsumford/standin/load"
 	"github.com/gypsumford/gypsumford/standin/scenario"
+	"github.com/gypsumford/gypsumford/standin/target"
 )
 
 // Recovery is looked for in buckets of requests by the time of their start:
@@ -69,7 +70,14 @@
 	case scenario.MeasureWasted:
 		return r.wasted(m)
 	case scenario.MeasureProbes:
-		return r.probes(m)
+		return r.perTarget(m, target.ProbeRun)
+	case scenario.MeasureReports:
+		return r.perTarget(m, target.ReportRun)
+	case scenario.MeasureReads:
+		calls := r.Platform
+		return r.perLength(calls.Reads + calls.Lists + calls.Watches)
+	case scenario.MeasureWrites:
+		return r.perLength(r.Platform.Writes)
 	case scenario.MeasureRecovery:
 		return r.recovery(m)
 	case scenario.MeasureAttempts:
@@ -248,7 +256,7 @@
 	ids := served(r.Records)
 	busy, lost := time.Duration(0), time.Duration(0)
 	for _, run := range r.Runs {
-		if run.Operation == "probe" || !matchesAny(service(m), run.Service) {
+		if !run.isCall() || !matchesAny(service(m), run.Service) {
 			continue
 		}
 		took := overlap(run.Started, run.Ended, from, to)
@@ -268,13 +276,16 @@
 	return []string{m.Service}
 }
 
-// probes returns the health probes a second that one target got.
-func (r *Result) probes(m scenario.Measure) float64 {
+// perLength returns a count of the whole run per second.
+func (r *Result) perLength(n int64) float64 { return ratio(float64(n), r.Scenario.Length.Seconds()) }
+
+// perTarget returns the runs a second, under the name, that one target had.
+func (r *Result) perTarget(m scenario.Measure, name string) float64 {
 	from, to := r.span(m)
 	n, targets := 0, map[string]bool{}
 	for _, run := range r.Runs {
 		targets[run.Target] = true
-		if run.Operation == "probe" && within(run.Started, from, to) {
+		if run.Operation == name && within(run.Started, from, to) {
 			n++
 		}
 	}
@@ -317,7 +328,7 @@
 	counts := map[string]int{}
 	most := 0
 	for _, run := range r.Runs {
-		if run.Operation == "probe" || run.Ended.IsZero() && !run.Shed {
+		if !run.isCall() || run.Ended.IsZero() && !run.Shed {
 			continue
 		}
 		counts[run.Request]++
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -26,6 +26,16 @@
 	Bad       int64 `json:"bad"`
 }
 
+// Since returns the counts since an earlier time.
+func (s Stats) Since(before Stats) Stats {
+	return Stats{
+		Reads: s.Reads - before.Reads, Writes: s.Writes - before.Writes,
+		Watches: s.Watches - before.Watches, Lists: s.Lists - before.Lists,
+		Conflicts: s.Conflicts - before.Conflicts, Faults: s.Faults - before.Faults,
+		Bad: s.Bad - before.Bad,
+	}
+}
+
 // Server answers the object API over HTTP.
 type Server struct {
 	store  *Store
--- a/standin/scenario/measure.go
+++ b/standin/scenario/measure.go
@@ -14,28 +14,31 @@
 	MeasureRefused     = "refused"     // share of requests that ended refused
 	MeasureP50         = "p50"         // time of requests that were not refused, ms
 	MeasureP99         = "p99"
-	MeasureShortP99    = "short-p99"  // the same of those without a straggler among their runs
-	MeasureWasted      = "wasted"     // share of slot time spent on asks that were not whole
-	MeasureRecovery    = "recovery"   // s from After until goodput equals what is offered
-	MeasureAttempts    = "attempts"   // most runs and sheds at targets that one ask caused
-	MeasureLost        = "lost"       // requests answered whole of which no whole run is known
-	MeasureDoubled     = "doubled"    // keys that ran more than once
-	MeasureUnknown     = "unknown"    // requests that ended unknown or without an answer
-	MeasureNotRunRan   = "notrun-ran" // asks answered not run that did run
-	MeasureWrong       = "wrong"      // answers that were not the whole answer to their request
-	MeasureProbes      = "probes"     // probes a second, per target
-	MeasureLate        = "late"       // share of requests that the source sent late
+	MeasureShortP99    = "short-p99"       // the same of those without a straggler among their runs
+	MeasureWasted      = "wasted"          // share of slot time spent on asks that were not whole
+	MeasureRecovery    = "recovery"        // s from After until goodput equals what is offered
+	MeasureAttempts    = "attempts"        // most runs and sheds at targets that one ask caused
+	MeasureLost        = "lost"            // requests answered whole of which no whole run is known
+	MeasureDoubled     = "doubled"         // keys that ran more than once
+	MeasureUnknown     = "unknown"         // requests that ended unknown or without an answer
+	MeasureNotRunRan   = "notrun-ran"      // asks answered not run that did run
+	MeasureWrong       = "wrong"           // answers that were not the whole answer to their request
+	MeasureProbes      = "probes"          // probes a second, per target
+	MeasureReports     = "reports"         // load reports a second, per target
+	MeasureReads       = "platform-reads"  // of the platform a second, lists and watches included
+	MeasureWrites      = "platform-writes" // of the platform a second
+	MeasureLate        = "late"            // share of requests that the source sent late
 )
 
 // phaseless are the measures of a whole run.
 var phaseless = []string{
 	MeasureRecovery, MeasureAttempts, MeasureLost, MeasureDoubled, MeasureUnknown,
-	MeasureNotRunRan, MeasureWrong, MeasureLate,
+	MeasureNotRunRan, MeasureWrong, MeasureLate, MeasureReads, MeasureWrites,
 }
 
 var measures = append([]string{
 	MeasureGoodput, MeasureOffered, MeasureCapacity, MeasureUtilisation, MeasureFirstAsk,
-	MeasureWhole, MeasureRefused, MeasureP50, MeasureP99, MeasureShortP99, MeasureWasted, MeasureProbes,
+	MeasureWhole, MeasureRefused, MeasureP50, MeasureP99, MeasureShortP99, MeasureWasted, MeasureProbes, MeasureReports,
 }, phaseless...)
 
 // figure reads: figure NAME UNIT EXPRESSION.
--- a/standin/target/journal.go
+++ b/standin/target/journal.go
@@ -24,6 +24,12 @@
 	straggler bool // it ran many times as long as others
 }
 
+// Names under which the journal keeps what is no operation.
+const (
+	ProbeRun  = "probe"  // GET /health
+	ReportRun = "report" // GET /load
+)
+
 // journal writes runs to a file, one line each, without buffering: a killed
 // process leaves all lines behind. It is safe for concurrent use.
 type journal struct {
@@ -82,7 +88,7 @@
 type Run struct {
 	Request   string // request id, "-" if none
 	Key       string // idempotency key, "-" if none
-	Operation string // name without the service; "probe" for a health probe
+	Operation string // name without the service; ProbeRun or ReportRun for what is none
 	Started   time.Time
 	Ended     time.Time // zero if the process ended first
 	Whole     bool
--- a/standin/target/report.go
+++ b/standin/target/report.go
@@ -53,6 +53,8 @@
 }
 
 func (t *Target) load(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	t.journal.ended(run{operation: ReportRun, started: now, ended: now})
 	t.behaviour.mu.Lock()
 	mode, late, stuckAt := t.behaviour.report, t.behaviour.late, t.behaviour.stuckAt
 	t.behaviour.mu.Unlock()
@@ -81,5 +83,5 @@
 		defer t.slots.release()
 	}
 	pause(r.Context(), t.settings.ProbeCost)
-	t.journal.ended(run{operation: "probe", started: started, ended: time.Now()})
+	t.journal.ended(run{operation: ProbeRun, started: started, ended: time.Now()})
 }
