--- a/standin/bench/fleet.go
+++ b/standin/bench/fleet.go
@@ -139,7 +139,7 @@
 		ConnectionCost: s.ConnectionCost, ProbeCost: s.ProbeCost,
 		ColdStart: s.ColdStart, ColdFactor: s.ColdFactor, Drain: s.Drain,
 		HopDelay: 2 * f.scenario.Apart, Plain: f.options.Plain, Honour: !f.options.Plain,
-		PlainTries: plainTries, PlainTimeout: plainTimeout, Seed: f.scenario.Seed,
+		PlainTries: plainTries, PlainTimeout: plainTimeout,
 	}
 	if f.options.Plain {
 		settings.Peers = f.peers()
--- a/standin/target/settings.go
+++ b/standin/target/settings.go
@@ -39,7 +39,6 @@
 	PlainTries     int           // tries of a child call in plain mode
 	PlainTimeout   time.Duration // timeout of one such try
 	Honour         bool          // calls stop when they are cancelled or past their deadline
-	Seed           uint64
 }
 
 // Operation is one kind of call that the target serves.
