--- a/membership/base.go
+++ b/membership/base.go
@@ -14,6 +14,7 @@
 	records   []record // in the order of references
 	byAddress map[string]reference
 	byService map[string][]int32 // positions in records
+	byDomain  map[fleet.FailureDomain][]int32
 	sums      []uint32           // per leaf of the digest
 	live      int
 }
@@ -51,12 +52,14 @@
 		records:   records,
 		byAddress: make(map[string]reference, len(records)),
 		byService: make(map[string][]int32),
+		byDomain:  make(map[fleet.FailureDomain][]int32),
 		sums:      make([]uint32, leaves),
 	}
 	for i := range records {
 		r := &records[i]
 		b.sums[leafOf(r.who.ref)] += r.hash()
 		b.byService[r.service] = append(b.byService[r.service], int32(i))
+		b.byDomain[r.who.domain] = append(b.byDomain[r.who.domain], int32(i))
 		if r.live() {
 			b.live++
 			b.byAddress[r.who.address] = r.who.ref
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"slices"
+
+	"github.com/gypsumford/gypsumford/fleet"
 )
 
 const (
@@ -163,14 +165,26 @@
 
 // ofService calls visit with each record of the service, in no particular order.
 func (d *directory) ofService(service string, visit func(r *record)) {
-	for _, i := range d.base.byService[service] {
+	d.among(d.base.byService[service], func(r *record) bool { return r.service == service }, visit)
+}
+
+// ofDomain calls visit with each record of the failure domain, in no particular
+// order.
+func (d *directory) ofDomain(domain fleet.FailureDomain, visit func(r *record)) {
+	d.among(d.base.byDomain[domain], func(r *record) bool { return r.who.domain == domain }, visit)
+}
+
+// among calls visit with the records at those positions of the base that have not
+// changed, and with the changed ones that belong to them.
+func (d *directory) among(positions []int32, belongs func(r *record) bool, visit func(r *record)) {
+	for _, i := range positions {
 		r := &d.base.records[i]
 		if d.inBaseUnchanged(r.who.ref) {
 			visit(r)
 		}
 	}
 	for _, r := range d.changed {
-		if r.service == service {
+		if belongs(&r) {
 			visit(&r)
 		}
 	}
--- a/membership/table.go
+++ b/membership/table.go
@@ -356,14 +356,15 @@
 }
 
 // DomainMembers returns the ids of the live members of the node's own failure
-// domain, the node included, in the order of their references.
+// domain, the node included, in the order of their ids.
 func (t *Table) DomainMembers() []fleet.InstanceID {
 	var ids []fleet.InstanceID
-	t.members.each(func(r *record) {
-		if r.live() && r.who.domain == t.self.who.domain {
+	t.members.ofDomain(t.self.who.domain, func(r *record) {
+		if r.live() {
 			ids = append(ids, r.who.id)
 		}
 	})
+	slices.Sort(ids)
 	return ids
 }
 
