--- a/membership/base.go
+++ b/membership/base.go
@@ -15,7 +15,7 @@
 	byAddress map[string]reference
 	byService map[string][]int32 // positions in records
 	byDomain  map[fleet.FailureDomain][]int32
-	sums      []uint32           // per leaf of the digest
+	sums      []uint32 // per leaf of the digest
 	live      int
 }
 
