Rollout: limit the bytes of configuration that a node pulls

Change: a budget of 3,500 bytes a second with a burst, at most 12 s of delay; versions that follow each other are taken as one.

--- a/rollout/config.go
+++ b/rollout/config.go
@@ -21,6 +21,15 @@
 	PullTimeout time.Duration
 	// ConcurrentPulls is the most pulls at a time; default 1.
 	ConcurrentPulls int
+	// PullBytesPerSecond limits the documents that a node pulls over time; default
+	// 3,500. While it is used up, versions that follow each other are taken as one.
+	PullBytesPerSecond int
+	// PullBurstBytes may be pulled without that limit after a quiet time; default
+	// 256,000.
+	PullBurstBytes int
+	// PullDelayLimit is the longest time that the limit delays a version; default
+	// 12 s.
+	PullDelayLimit time.Duration
 	// StartupPeers is the number of peers whose answers make a new node ready while
 	// the platform doesn't answer; default 3. A fleet with fewer others needs all of them, see SetFleetSize.
 	StartupPeers int
@@ -41,6 +50,15 @@
 	if c.ConcurrentPulls <= 0 {
 		c.ConcurrentPulls = 1
 	}
+	if c.PullBytesPerSecond <= 0 {
+		c.PullBytesPerSecond = 3_500
+	}
+	if c.PullBurstBytes <= 0 {
+		c.PullBurstBytes = 256_000
+	}
+	if c.PullDelayLimit <= 0 {
+		c.PullDelayLimit = 12 * time.Second
+	}
 	if c.StartupPeers <= 0 {
 		c.StartupPeers = 3
 	}
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -7,7 +7,9 @@
 // instance, so all nodes of the domain agree on them as far as they agree on the
 // members. All packets of the membership protocol carry the sender's version. A
 // node that hears of a newer one pulls it from a peer that has it, at a random
-// moment within pullSpread, so the first ones are not asked by all.
+// moment within Config.PullSpread, so the first ones are not asked by all. Where
+// versions follow each other faster than Config.PullBytesPerSecond carries, a node
+// skips some and takes the newest, at most Config.PullDelayLimit later.
 //
 // The version in force only grows: an older document is never taken, wherever it
 // comes from. The versions are those of the platform's object, so a document and
--- a/rollout/table.go
+++ b/rollout/table.go
@@ -61,8 +61,9 @@
 	document []byte
 	refused  []uint64 // versions that failed the check, in order
 
-	peers []peer // that have a newer version
-	pulls []pull // under way
+	peers  []peer // that have a newer version
+	pulls  []pull // under way
+	budget budget // of the documents that are pulled
 
 	watches bool
 	others  int // members of the fleet beside the node, -1 if not told
@@ -87,8 +88,10 @@
 
 // NewTable returns the table of a node that has no configuration yet.
 func NewTable(cfg Config, self fleet.InstanceID, domain fleet.FailureDomain, now time.Time, seed uint64) *Table {
+	cfg = cfg.withDefaults()
 	return &Table{
-		cfg:     cfg.withDefaults(),
+		cfg:     cfg,
+		budget:  newBudget(cfg, now),
 		rng:     rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(self)))),
 		self:    self,
 		domain:  domain,
@@ -124,6 +127,7 @@
 		return Invalid
 	}
 	t.counters.Accepted++
+	t.budget.spend(now, len(doc))
 	t.version = version
 	t.document = slices.Clone(doc)
 	t.forget(func(p *peer) bool { return p.version <= version })
@@ -183,6 +187,9 @@
 	})
 	t.counters.PullsFailed += uint64(expired)
 	var out []Pull
+	if !t.budget.allows(now) {
+		return nil
+	}
 	for len(t.pulls) < t.cfg.ConcurrentPulls {
 		chosen, ok := t.choose(now)
 		if !ok {
--- a/standin/slopes/main.go
+++ b/standin/slopes/main.go
@@ -2,7 +2,8 @@
 // the figures that docs/CAPACITY.md quotes.
 //
 // The part "tables" drives one complete membership table of each size and the real
-// codec. "spread", "domain" and "rolling" run that many nodes' tables in one
+// codec, "entries" the table by which targets are chosen, "documents" an inventory.
+// "spread", "domain" and "rolling" run that many nodes' tables in one
 // process, in virtual time over a network with the regions' delays; the members
 // that all know at the start stand once in a base that the tables share, and each
 // table holds what has changed since. "processes" runs real gypsumd processes on
@@ -38,7 +39,7 @@
 }
 
 func run() error {
-	only := flag.String("only", "tables,spread,domain,rolling,processes", "parts to run, separated by commas")
+	only := flag.String("only", "tables,entries,documents,spread,domain,rolling,processes", "parts to run, separated by commas")
 	sizes := flag.String("sizes", "10,100,1000,5000,19000", "members of the tables and nodes in virtual time")
 	processes := flag.String("processes", "10,50,100,200", "numbers of real processes")
 	gypsumd := flag.String("gypsumd", "bin/gypsumd", "path of the daemon")
@@ -56,6 +57,8 @@
 	r := &report{out: os.Stdout}
 	parts := []part{
 		{"tables", measureTables},
+		{"entries", measureEntries},
+		{"documents", measureDocuments},
 		{"spread", measureSpreads},
 		{"domain", measureLostDomains},
 		{"rolling", measureRollings},
