--- a/membership/apply.go
+++ b/membership/apply.go
@@ -203,7 +203,7 @@
 	}
 	t.lastSweep = t.now
 	var old []reference
-	t.members.each(func(r *record) {
+	t.members.eachEnded(func(r *record) {
 		expired := r.health == left && t.now-r.since > leftRetention
 		expired = expired || r.health == dead && t.now-r.since > deadRetention
 		if expired && r.who.ref != t.self.who.ref {
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -144,8 +144,11 @@
 // references.
 func (d *directory) each(visit func(r *record)) {
 	for i := range d.base.records {
-		if r, ok := d.get(d.base.records[i].who.ref); ok {
-			visit(&r)
+		r := &d.base.records[i]
+		if changed, ok := d.changed[r.who.ref]; ok {
+			visit(&changed)
+		} else if !d.removed[r.who.ref] {
+			visit(r)
 		}
 	}
 	for _, ref := range d.added {
@@ -154,6 +157,25 @@
 	}
 }
 
+// eachEnded calls visit with each record of a member that is dead or left, in no
+// particular order.
+func (d *directory) eachEnded(visit func(r *record)) {
+	for _, r := range d.changed {
+		if !r.live() {
+			visit(&r)
+		}
+	}
+	if d.base.live == len(d.base.records) {
+		return
+	}
+	for i := range d.base.records {
+		r := &d.base.records[i]
+		if !r.live() && d.inBaseUnchanged(r.who.ref) {
+			visit(r)
+		}
+	}
+}
+
 func (d *directory) inBaseUnchanged(ref reference) bool {
 	if len(d.changed) > 0 {
 		if _, ok := d.changed[ref]; ok {
