--- a/standin/slopes/main.go
+++ b/standin/slopes/main.go
@@ -3,7 +3,7 @@
 //
 // The part "tables" drives one complete membership table of each size and the real
 // codec, "entries" the table by which targets are chosen, "documents" an inventory.
-// "spread", "domain" and "rolling" run that many nodes' tables in one
+// "spread", "domain", "rolling" and "parted" run that many nodes' tables in one
 // process, in virtual time over a network with the regions' delays; the members
 // that all know at the start stand once in a base that the tables share, and each
 // table holds what has changed since. "processes" runs real gypsumd processes on
@@ -39,7 +39,7 @@
 }
 
 func run() error {
-	only := flag.String("only", "tables,entries,documents,spread,domain,rolling,processes", "parts to run, separated by commas")
+	only := flag.String("only", "tables,entries,documents,spread,domain,rolling,parted,processes", "parts to run, separated by commas")
 	sizes := flag.String("sizes", "10,100,1000,5000,19000", "members of the tables and nodes in virtual time")
 	processes := flag.String("processes", "10,50,100,200", "numbers of real processes")
 	gypsumd := flag.String("gypsumd", "bin/gypsumd", "path of the daemon")
@@ -62,6 +62,7 @@
 		{"spread", measureSpreads},
 		{"domain", measureLostDomains},
 		{"rolling", measureRollings},
+		{"parted", measureParteds},
 		{"processes", measureProcesses},
 	}
 	for _, p := range parts {
