Tell the fleet the target's states in order

The lease's expiry and an announcement told the fleet in the other order than they had changed the state, so the last word was 'starting', and later announcements changed nothing. Ruled out: the membership protocol (the node's own table said starting, too). Change: one goroutine at a time tells, and tells the state that holds then.

--- a/agent/target.go
+++ b/agent/target.go
@@ -31,9 +31,14 @@
 // target is what the node knows of its own target.
 type target struct {
 	now func() time.Time
-	// changed is called, without any lock, when service or state change.
+	// changed is called when the effective state has changed, or the service
+	// became known.
 	changed func(service string, state fleet.State)
 
+	telling   sync.Mutex // held over changed; no other lock is held when it is taken
+	told      bool
+	toldState fleet.State
+
 	mu struct {
 		sync.Mutex
 		service  string
@@ -74,23 +79,37 @@
 // announce takes an announcement. The service of a node's target is set by the
 // first announcement and stays.
 func (t *target) announce(a Announcement, state fleet.State) error {
+	if err := t.renew(a, state); err != nil {
+		return err
+	}
+	t.tell()
+	return nil
+}
+
+func (t *target) renew(a Announcement, state fleet.State) error {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.mu.service != "" && t.mu.service != a.Service {
-		t.mu.Unlock()
 		return errors.Newf("announcement: service %q: this node's target is of service %q", a.Service, t.mu.service)
 	}
-	before := t.effective()
-	first := t.mu.service == ""
 	t.mu.service, t.mu.address, t.mu.state = a.Service, a.Address, state
 	t.mu.renewed, t.mu.lapsed = t.now(), false
-	after := t.effective()
-	t.mu.Unlock()
-	if first || before != after {
-		t.changed(a.Service, after)
-	}
 	return nil
 }
 
+// tell calls changed if the effective state is not the one last told. One
+// goroutine at a time tells, so the last state told is the effective one.
+func (t *target) tell() {
+	t.telling.Lock()
+	defer t.telling.Unlock()
+	service, _, state := t.get()
+	if service == "" || (t.told && t.toldState == state) {
+		return
+	}
+	t.told, t.toldState = true, state
+	t.changed(service, state)
+}
+
 // effective is the state that the fleet is told. t.mu must be held.
 func (t *target) effective() fleet.State {
 	switch {
@@ -106,27 +125,19 @@
 // expire ends the lease of a target that no longer announces itself.
 func (t *target) expire() {
 	t.mu.Lock()
-	lapse := t.mu.service != "" && !t.mu.lapsed && t.now().Sub(t.mu.renewed) > targetLease
-	if lapse {
+	if t.now().Sub(t.mu.renewed) > targetLease {
 		t.mu.lapsed = true
 	}
-	service, state := t.mu.service, t.effective()
 	t.mu.Unlock()
-	if lapse {
-		t.changed(service, state)
-	}
+	t.tell()
 }
 
 // drain makes the target leave for good.
 func (t *target) drain() {
 	t.mu.Lock()
-	already := t.mu.draining
 	t.mu.draining = true
-	service := t.mu.service
 	t.mu.Unlock()
-	if !already {
-		t.changed(service, fleet.Draining)
-	}
+	t.tell()
 }
 
 // addressOf returns the target's address if it takes calls of the service now.
--- /dev/null
+++ b/agent/target_test.go
@@ -0,0 +1,44 @@
+package agent
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/fleet"
+)
+
+func TestLastToldStateIsTheEffectiveOne(t *testing.T) {
+	Convey("A lease that runs out while the target announces itself leaves the fleet told that it is ready", t, func() {
+		now := time.Unix(1000, 0)
+		var mu sync.Mutex
+		var told []fleet.State
+		expiring, announced := make(chan struct{}), make(chan struct{}, 8)
+		lease := &target{now: func() time.Time { return now }}
+		lease.changed = func(_ string, state fleet.State) {
+			if state == fleet.Starting {
+				close(expiring)
+				select { // give the announcement the time to overtake
+				case <-announced:
+				case <-time.After(200 * time.Millisecond):
+				}
+			}
+			mu.Lock()
+			told = append(told, state)
+			mu.Unlock()
+			announced <- struct{}{}
+		}
+		announcement := Announcement{Service: "shop", Address: "127.0.0.1:1"}
+		So(lease.announce(announcement, fleet.Ready), ShouldBeNil)
+		<-announced
+		now = now.Add(2 * targetLease)
+		var wait sync.WaitGroup
+		wait.Go(lease.expire)
+		<-expiring
+		So(lease.announce(announcement, fleet.Ready), ShouldBeNil)
+		wait.Wait()
+		So(told, ShouldResemble, []fleet.State{fleet.Ready, fleet.Starting, fleet.Ready})
+	})
+}
