Offer a target only when its node can serve; order answers on the time line

Answers carried no logical time, so a parent's completion stood before its child's. A drained node refused all callers, also those of other services. Change: a target is ready when its node is, too; answers between nodes carry the logical time; only a stopping node refuses callers; completions state their status and member states have their own kinds on the time line.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,7 +35,7 @@
 	controlTimeout   = 5 * time.Second // of twirp requests between nodes
 	claimTick        = 20 * time.Millisecond
 	seedTick         = 5 * time.Second
-	leaseTick        = 500 * time.Millisecond
+	leaseTick        = 100 * time.Millisecond
 	rolloutTick      = 100 * time.Millisecond
 	boundaryTick     = 1 * time.Second
 )
@@ -69,6 +69,7 @@
 	seeds          *seeds
 
 	joined       atomic.Bool
+	stopping     atomic.Bool  // a graceful stop has begun
 	fleetChanged atomic.Bool  // the rollout doesn't know yet who is live
 	inFlight     atomic.Int64 // calls that the listeners serve
 	bodies       byteBudget   // bodies of those calls
@@ -115,7 +116,7 @@
 func (a *Agent) buildTables() {
 	a.routes = &routeTable{table: routing.NewTable(routing.Config{}, a.self.FailureDomain, a.self.Region, randomSeed())}
 	a.ring = &ringTable{ring: timeline.NewRing(a.self.ID, *a.settings.TimelineSize), now: a.now}
-	a.target = &target{now: a.now, changed: a.targetChanged}
+	a.target = &target{now: a.now, nodeReady: a.ready, changed: a.targetChanged}
 }
 
 func (a *Agent) buildControl(socket net.PacketConn) {
@@ -150,7 +151,7 @@
 	}
 	a.paid = newPaid(a, calls)
 	a.entry = &entry{
-		now: a.now, config: a.inForce, ready: a.ready, draining: a.target.isDraining, fresh: a.members.fresh,
+		now: a.now, config: a.inForce, ready: a.ready, draining: a.stopping.Load, fresh: a.members.fresh,
 		parents: a.parents, levels: levels, attempts: attempts, dispatcher: a.dispatcher,
 		paid: a.paid, ring: a.ring, metrics: a.metrics,
 	}
@@ -169,7 +170,7 @@
 func (a *Agent) ready() bool { return a.joined.Load() && a.configurations.ready() }
 
 // serving reports whether the node takes new requests of callers.
-func (a *Agent) serving() bool { return a.ready() && a.members.fresh() && !a.target.isDraining() }
+func (a *Agent) serving() bool { return a.ready() && a.members.fresh() && !a.stopping.Load() }
 
 func (a *Agent) callAddress() string { return a.callSocket.Addr().String() }
 
@@ -337,6 +338,7 @@
 func (a *Agent) stopGracefully(callServer, peerServer *http.Server) {
 	a.log.Info("node stopping", "in-flight", a.inFlight.Load())
 	a.ring.record(timeline.Event{Kind: timeline.NodeStopping, Detail: "signal"})
+	a.stopping.Store(true)
 	a.target.drain()
 	deadline := a.now().Add(*a.settings.DrainTimeout)
 	a.waitIdle(deadline)
--- a/agent/announcements.go
+++ b/agent/announcements.go
@@ -23,6 +23,9 @@
 	return func() {
 		current := a.delivery.boundary()
 		service, _, _ := a.target.get()
+		if service == "" {
+			return
+		}
 		if current.limit != last.limit {
 			a.announce(bus.Announcement{
 				Topic: bus.TopicLimit, What: "limit-changed", Service: service, Value: float64(current.limit),
@@ -77,8 +80,8 @@
 	"config-accepted": timeline.ConfigAccepted,
 	"config-refused":  timeline.ConfigRefused,
 	"member-starting": timeline.MemberJoined,
-	"member-ready":    timeline.MemberJoined,
-	"member-draining": timeline.TargetState,
+	"member-ready":    timeline.MemberReady,
+	"member-draining": timeline.MemberDraining,
 	"member-suspect":  timeline.MemberSuspect,
 	"member-dead":     timeline.MemberLost,
 	"member-left":     timeline.MemberLost,
--- a/agent/delivery.go
+++ b/agent/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -160,7 +161,7 @@
 	d.subtree.observe(d.now(), &r.Call, reply.Level)
 	d.metrics.Delivered.Add(reply.Outcome.String(), 1)
 	if reply.Outcome == call.Completed {
-		d.ring.call(timeline.Completed, &r.Call, d.className(&r.Call), "")
+		d.ring.call(timeline.Completed, &r.Call, d.className(&r.Call), strconv.Itoa(reply.Status))
 		finish := func() { d.finish(ticket, admission.Completed) }
 		reply.Body = closeAfter(reply.Body, finish)
 	} else {
--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -220,7 +220,9 @@
 	if to.ID == d.self {
 		return d.local.serve(ctx, r)
 	}
-	return d.link.Peer(ctx, to, link.DeliverPath, r, d.ring.lamport())
+	reply := d.link.Peer(ctx, to, link.DeliverPath, r, d.ring.lamport())
+	d.ring.observe(reply.Lamport)
+	return reply
 }
 
 func sample(ctx context.Context, c *call.Call, reply *exchange.Reply, latency time.Duration) routing.Sample {
--- a/agent/exchange/exchange.go
+++ b/agent/exchange/exchange.go
@@ -38,8 +38,9 @@
 	Unspent       int              // attempts of the grant that were not caused
 	Load          callhttp.Load    // of the target's queue
 	HasLoad       bool
-	Draining      bool // the instance takes no new calls
-	ConnectFailed bool // no connection to the instance could be had
+	Lamport       uint64 // logical time of a peer's answer, 0 for an own one
+	Draining      bool   // the instance takes no new calls
+	ConnectFailed bool   // no connection to the instance could be had
 }
 
 // Refuse returns the reply to a call that was not run.
--- a/agent/exchange/write.go
+++ b/agent/exchange/write.go
@@ -40,9 +40,10 @@
 }
 
 // WriteToPeer sends the reply to another node, with the fields that only nodes
-// exchange.
-func WriteToPeer(w http.ResponseWriter, requestID call.RequestID, reply *Reply) {
+// exchange. lamport is the sender's logical time.
+func WriteToPeer(w http.ResponseWriter, requestID call.RequestID, reply *Reply, lamport uint64) {
 	header := w.Header()
+	header.Set(callhttp.HeaderLamport, strconv.FormatUint(lamport, 10))
 	header.Set(callhttp.HeaderUnspent, strconv.Itoa(reply.Unspent))
 	header.Set(callhttp.HeaderLevel, strconv.FormatUint(uint64(reply.Level), 10))
 	if reply.HasLoad {
--- a/agent/link/link.go
+++ b/agent/link/link.go
@@ -174,6 +174,7 @@
 	reply.Node = node
 	reply.Level = readLevel(header)
 	reply.Unspent = readUnspent(header, grant)
+	reply.Lamport, _ = strconv.ParseUint(header.Get(callhttp.HeaderLamport), 10, 64) // 0 if it states none
 	reply.Load, reply.HasLoad = callhttp.ParseLoad(header.Get(callhttp.HeaderLoad))
 	if outcome == call.Completed {
 		return reply
--- a/agent/operatorserver.go
+++ b/agent/operatorserver.go
@@ -121,7 +121,7 @@
 
 // Drain makes the node's target leave.
 func (s *operatorServer) Drain(_ context.Context, r *operator.DrainRequest) (*operator.DrainReply, error) {
-	s.agent.ring.record(timeline.Event{Kind: timeline.NodeStopping, Detail: r.By})
+	s.agent.ring.record(timeline.Event{Kind: timeline.TargetState, Detail: "drain asked by " + r.By})
 	s.agent.target.drain()
 	_, _, state := s.agent.target.get()
 	running := uint32(s.agent.delivery.stats().Running)
--- a/agent/paid.go
+++ b/agent/paid.go
@@ -154,6 +154,7 @@
 		return p.serve(ctx, r, op, key)
 	}
 	reply := p.link.Peer(ctx, home, link.HomePath, r, p.ring.lamport())
+	p.ring.observe(reply.Lamport)
 	if reply.ConnectFailed {
 		p.dispatcher.unreachable(home.ID)
 	}
--- a/agent/promises_test.go
+++ b/agent/promises_test.go
@@ -12,7 +12,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/gypsumford/gypsumford/call"
 	"github.com/gypsumford/gypsumford/callhttp"
+	"github.com/gypsumford/gypsumford/timeline"
 )
 
 // behaviour lets a test change what a target does between two calls.
@@ -183,3 +185,24 @@
 		So(got.reason, ShouldEqual, "attempts")
 	})
 }
+
+func TestEffectsFollowTheirCausesOnTheTimeLine(t *testing.T) {
+	shop, stock, _ := startShop(t)
+	Convey("A child call completes before its parent, though another node serves it", t, func() {
+		So(shop.call("shop/look", "", callhttp.HeaderRequestID, "caused").outcome, ShouldEqual, "completed")
+		child := completedAt(stock, "caused")
+		parent := completedAt(shop, "caused")
+		So(child, ShouldBeGreaterThan, 0)
+		So(parent, ShouldBeGreaterThan, child)
+	})
+}
+
+// completedAt returns the logical time at which the node's target completed a
+// call of the request, 0 if it did not.
+func completedAt(n *testNode, request call.RequestID) uint64 {
+	events, _ := n.agent.ring.after(0, timeline.Filter{Request: request, Kind: timeline.Completed}, 10)
+	if len(events) != 1 {
+		return 0
+	}
+	return events[0].Lamport
+}
--- a/agent/server.go
+++ b/agent/server.go
@@ -162,7 +162,13 @@
 	defer release()
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
-	exchange.WriteToPeer(w, request.Call.Request, a.delivery.serve(r.Context(), request))
+	a.answerPeer(w, request.Call.Request, a.delivery.serve(r.Context(), request))
+}
+
+// answerPeer sends a reply with the node's logical time, so that what the peer
+// records next comes after what this node recorded before.
+func (a *Agent) answerPeer(w http.ResponseWriter, id call.RequestID, reply *exchange.Reply) {
+	exchange.WriteToPeer(w, id, reply, a.ring.lamport())
 }
 
 // handleHome serves a peer's call whose key has its home here.
@@ -180,13 +186,13 @@
 	op := a.operationOf(&request.Call)
 	if op == nil || !op.AtMostOnce {
 		refusal := exchange.Refuse(call.ReasonUnknownOperation, 0, request.Call.Grant)
-		exchange.WriteToPeer(w, request.Call.Request, refusal)
+		a.answerPeer(w, request.Call.Request, refusal)
 		return
 	}
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
 	key = key.For(request.Call.Caller, request.Call.Operation)
-	exchange.WriteToPeer(w, request.Call.Request, a.paid.serve(r.Context(), request, op, key))
+	a.answerPeer(w, request.Call.Request, a.paid.serve(r.Context(), request, op, key))
 }
 
 func (a *Agent) operationOf(c *call.Call) *inventory.Operation {
@@ -209,7 +215,7 @@
 	a.ring.observe(envelope.Lamport)
 	refuse := func(reason call.Reason, retryAfter time.Duration) {
 		refusal := exchange.Refuse(reason, retryAfter, envelope.Call.Grant)
-		exchange.WriteToPeer(w, envelope.Call.Request, refusal)
+		a.answerPeer(w, envelope.Call.Request, refusal)
 	}
 	if envelope.Instance != a.self.ID {
 		refuse(call.ReasonDraining, 0)
--- a/agent/target.go
+++ b/agent/target.go
@@ -31,6 +31,9 @@
 // target is what the node knows of its own target.
 type target struct {
 	now func() time.Time
+	// nodeReady reports whether the node itself can serve: child calls of the
+	// target need it.
+	nodeReady func() bool
 	// changed is called when the effective state has changed, or the service
 	// became known.
 	changed func(service string, state fleet.State)
@@ -115,7 +118,7 @@
 	switch {
 	case t.mu.draining:
 		return fleet.Draining
-	case t.mu.lapsed:
+	case t.mu.lapsed || !t.nodeReady():
 		return fleet.Starting
 	default:
 		return t.mu.state
@@ -157,13 +160,6 @@
 	return t.mu.service, t.mu.address, t.effective()
 }
 
-// isDraining reports whether the target leaves for good.
-func (t *target) isDraining() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.mu.draining
-}
-
 // handleAnnounce serves POST /target/announce.
 func (a *Agent) handleAnnounce(w http.ResponseWriter, r *http.Request) {
 	announcement, state, err := readAnnouncement(r.Body)
--- a/agent/target_test.go
+++ b/agent/target_test.go
@@ -16,7 +16,7 @@
 		var mu sync.Mutex
 		var told []fleet.State
 		expiring, announced := make(chan struct{}), make(chan struct{}, 8)
-		lease := &target{now: func() time.Time { return now }}
+		lease := &target{now: func() time.Time { return now }, nodeReady: func() bool { return true }}
 		lease.changed = func(_ string, state fleet.State) {
 			if state == fleet.Starting {
 				close(expiring)
@@ -42,3 +42,22 @@
 		So(told, ShouldResemble, []fleet.State{fleet.Ready, fleet.Starting, fleet.Ready})
 	})
 }
+
+func TestTargetIsNotReadyBeforeItsNode(t *testing.T) {
+	Convey("A target that is ready beside a node that isn't takes no calls yet", t, func() {
+		nodeReady := false
+		var told []fleet.State
+		beside := &target{
+			now: time.Now, nodeReady: func() bool { return nodeReady },
+			changed: func(_ string, state fleet.State) { told = append(told, state) },
+		}
+		So(beside.announce(Announcement{Service: "shop", Address: "127.0.0.1:1"}, fleet.Ready), ShouldBeNil)
+		_, takes := beside.addressOf("shop")
+		So(takes, ShouldBeFalse)
+		nodeReady = true
+		beside.expire()
+		_, takes = beside.addressOf("shop")
+		So(takes, ShouldBeTrue)
+		So(told, ShouldResemble, []fleet.State{fleet.Starting, fleet.Ready})
+	})
+}
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -50,7 +50,7 @@
 	ReasonAttempts
 	// ReasonPlatform: the platform can't record the claim that the call needs.
 	ReasonPlatform
-	// ReasonKey: the idempotency key is missing, malformed or too old.
+	// ReasonKey: the idempotency key is missing, malformed or dated ahead.
 	ReasonKey
 	// ReasonCancelled: the caller went away before the call ran.
 	ReasonCancelled
