--- a/agent/entry.go
+++ b/agent/entry.go
@@ -15,7 +15,7 @@
 )
 
 // startingRetryAfter is told to callers of a node that has no configuration yet.
-const startingRetryAfter = 1 * time.Second
+const startingRetryAfter = 100 * time.Millisecond
 
 // entry takes calls from callers and child calls from the own target.
 type entry struct {
