routing: a service that slows as a whole keeps all its instances; agent: no retry against the level

Change: an instance is set aside against the mean of the others; the slowness of one that isn't probed counts for less with its age. The nodes also spent their retry budget on calls above the level that the refusal carried; such calls are no longer sent to another target.

--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -126,6 +126,9 @@
 	if reply.ConnectFailed || reply.Draining {
 		return true // costs no target anything
 	}
+	if reply.Reason == call.ReasonOverload && !reply.Level.Admits(t.request.Call.Priority()) {
+		return false // another target's level is about the same
+	}
 	if reply.Reason == call.ReasonNoTarget {
 		return false
 	}
--- a/routing/service.go
+++ b/routing/service.go
@@ -65,7 +65,9 @@
 	inFlight   int
 	begun      uint64 // calls sent so far
 	slow       int    // targets that are set aside as slow
-	slots      int    // of all its targets
+	targets    int
+	slowness   float64 // sum over the targets
+	slots      int     // of all its targets
 }
 
 func newService(name string) *service {
@@ -112,6 +114,15 @@
 	return spent.Seconds() / usual
 }
 
+// slownessOfOthers returns the mean slowness of the other targets, at least 1. A
+// service that has slowed as a whole has no target to set aside.
+func (s *service) slownessOfOthers(t *target) float64 {
+	if s.targets < 2 {
+		return math.Inf(1)
+	}
+	return max(1, (s.slowness-t.slowness)/float64(s.targets-1))
+}
+
 // mayHedge reports whether calls may be sent a second time at all. While no
 // instance answers, it is not one of them that is slow, and hedges would only
 // add to the load.
--- a/routing/table.go
+++ b/routing/table.go
@@ -76,6 +76,8 @@
 	s.inFlight = 0
 	s.slots = 0
 	s.slow = 0
+	s.targets = len(chosen)
+	s.slowness = 0
 	for _, instance := range chosen {
 		known, ok := old[instance.ID]
 		if !ok {
@@ -89,6 +91,7 @@
 		tier := t.tierOf(instance)
 		s.tiers[tier] = append(s.tiers[tier], known)
 		s.inFlight += known.inFlight
+		s.slowness += known.slowness
 		if known.slow {
 			s.slow++
 		}
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -290,6 +290,29 @@
 	}
 }
 
+func TestServiceThatSlowsAsAWholeKeepsItsInstances(t *testing.T) {
+	Convey("When all instances slow by three, none is set aside for longer than a few calls", t, func() {
+		table := routing.NewTable(routing.Config{}, "a", "bayern", 1)
+		table.SetInstances(begin, "search", instances(3, "a"))
+		counts := map[fleet.InstanceID]int{}
+		for i := range 400 {
+			now := begin.Add(time.Duration(i) * 10 * time.Millisecond)
+			chosen, _ := table.Choose(now, "search", routing.Ask{Operation: "plot"})
+			table.Begin(now, chosen.ID)
+			latency := 9 * time.Millisecond
+			if i >= 200 {
+				latency *= 3
+				counts[chosen.ID]++
+			}
+			table.End(now, chosen.ID, routing.Sample{Operation: "plot", Latency: latency, Outcome: call.Completed})
+		}
+		t.Logf("calls by instance after the slowdown: %v", counts)
+		for _, instance := range instances(3, "a") {
+			So(counts[instance.ID], ShouldBeGreaterThan, 40)
+		}
+	})
+}
+
 func TestHedges(t *testing.T) {
 	Convey("Given a service whose calls usually take 10 ms", t, func() {
 		table := routing.NewTable(routing.Config{}, "a", "bayern", 1)
--- a/routing/target.go
+++ b/routing/target.go
@@ -12,9 +12,10 @@
 const (
 	slownessGain  = 1.0 / 8                // weight of an answer
 	slownessClip  = 4.0                    // highest ratio that one answer counts as
-	slowFrom      = 2.0                    // slowness from which an instance is set aside
-	slowUntil     = 1.4                    // slowness below which it is back
+	slowFrom      = 2.0                    // slowness, against the others', from which an instance is set aside
+	slowUntil     = 1.4                    // and below which it is back
 	probeGain     = 0.5                    // weight of the answer to a probe
+	slownessHolds = time.Second            // age at which a slowness no longer counts
 	slownessFloor = 1.5                    // slowness that makes no difference
 	slowProbeMin  = 250 * time.Millisecond // least time between two probes of a slow instance
 	slowProbeMax  = 4 * time.Second        // most time between them
@@ -34,7 +35,8 @@
 	inFlight int
 	lastSeen time.Time // last answer, or start of the oldest call known to wait
 
-	slowness  float64 // latency against the usual one, smoothed
+	slowness  float64   // latency against the usual one, smoothed
+	judged    time.Time // last change of slowness
 	slow      bool
 	probed    time.Time // last probe while slow
 	probeFrom uint64    // calls to the service from which the next probe may be sent
@@ -136,9 +138,20 @@
 	return max(part, rampFloor)
 }
 
+// recentSlowness returns the slowness, which counts for less the older it is. An
+// instance that is avoided for it has no answers that could lower it; one that
+// was set aside is probed instead.
+func (t *target) recentSlowness(now time.Time) float64 {
+	if t.slow || t.slowness <= slownessFloor {
+		return t.slowness
+	}
+	left := 1 - float64(now.Sub(t.judged))/float64(slownessHolds)
+	return 1 + (t.slowness-1)*max(left, 0)
+}
+
 // delayRatio returns the latency to expect against the usual one.
 func (t *target) delayRatio(now time.Time) float64 {
-	ratio := t.slowness
+	ratio := t.recentSlowness(now)
 	if t.inFlight > 0 && t.service.usual > 0 {
 		gap := t.service.usual / float64(t.inFlight)
 		stall := now.Sub(t.lastSeen).Seconds() / max(gap, t.service.usual/8)
@@ -192,13 +205,17 @@
 	if t.slow {
 		gain = probeGain
 	}
+	before := t.slowness
+	t.judged = now
 	t.slowness += gain * (min(ratio, slownessClip) - t.slowness)
+	t.service.slowness += t.slowness - before
+	others := t.service.slownessOfOthers(t)
 	switch {
-	case !t.slow && t.slowness >= slowFrom:
+	case !t.slow && t.slowness >= slowFrom*others:
 		t.slow = true
 		t.service.slow++
 		t.nextProbe(now, slowProbeCall)
-	case t.slow && t.slowness <= slowUntil:
+	case t.slow && t.slowness <= slowUntil*others:
 		t.slow = false
 		t.service.slow--
 	case t.slow && ratio < slowUntil:
