admission: names that aren't listed can't push listed callers out of the table

The test failed first: after 1000 unknown names a listed caller shared the last entry with them, so both had the same level. Unlisted callers now have 16 entries.

--- a/admission/config.go
+++ b/admission/config.go
@@ -2,11 +2,12 @@
 
 import "time"
 
-// Bounds of the tables. What exceeds a table shares its last entry.
+// Bounds of the tables. What exceeds a table shares one of its entries.
 const (
-	MaxCallers    = 64   // callers told apart by one queue
-	MaxOperations = 128  // operations told apart by one queue
-	MaxQueued     = 2048 // calls that one queue holds
+	MaxCallers         = 64   // callers told apart by one queue
+	MaxUnlistedCallers = 16   // of these, callers that the configuration doesn't list
+	MaxOperations      = 128  // operations told apart by one queue
+	MaxQueued          = 2048 // calls that one queue holds
 )
 
 // TickInterval is the time between two calls of Queue.Tick.
--- a/admission/flows.go
+++ b/admission/flows.go
@@ -36,15 +36,18 @@
 	level  call.Level
 }
 
-// callers is the table of callers of one target.
+// callers is the table of callers of one target. The first entry is shared by
+// all that have none of their own.
 type callers struct {
-	index  map[string]int32
-	list   []*caller
-	weight map[string]float64
+	index    map[string]int32
+	list     []*caller
+	weight   map[string]float64 // of the listed callers
+	unlisted int                // entries of callers that aren't listed
 }
 
 func newCallers(shares []CallerShare) callers {
 	c := callers{index: make(map[string]int32, MaxCallers)}
+	c.list = append(c.list, newCaller(1))
 	c.setShares(shares)
 	return c
 }
@@ -55,35 +58,45 @@
 	for _, share := range shares {
 		c.weight[share.Name] = float64(max(share.Share, 1))
 	}
+	c.unlisted = 0
 	for name, at := range c.index {
-		c.list[at].weight = c.weightOf(name)
+		weight, listed := c.weight[name]
+		if !listed {
+			weight = 1
+			c.unlisted++
+		}
+		c.list[at].weight = weight
 	}
 }
 
-func (c *callers) weightOf(name string) float64 {
-	if weight, ok := c.weight[name]; ok {
-		return weight
-	}
-	return 1
-}
-
-// find returns the caller's place; a full table shares its last one.
+// find returns the caller's entry. Callers that aren't listed have a part of the
+// table, so that no names that calls may carry push the listed ones out.
 func (c *callers) find(name string) *caller {
 	if at, ok := c.index[name]; ok {
 		return c.list[at]
 	}
-	if len(c.list) == MaxCallers {
-		return c.list[MaxCallers-1]
+	weight, listed := c.weight[name]
+	if len(c.list) == MaxCallers || !listed && c.unlisted == MaxUnlistedCallers {
+		return c.list[0]
 	}
-	added := &caller{weight: c.weightOf(name), level: call.AdmitAll}
-	for class := range added.flows {
-		added.flows[class].admit(1)
+	if !listed {
+		weight = 1
+		c.unlisted++
 	}
 	c.index[name] = int32(len(c.list))
+	added := newCaller(weight)
 	c.list = append(c.list, added)
 	return added
 }
 
+func newCaller(weight float64) *caller {
+	added := &caller{weight: weight, level: call.AdmitAll}
+	for class := range added.flows {
+		added.flows[class].admit(1)
+	}
+	return added
+}
+
 // arrive counts one call.
 func (c *caller) arrive(p call.Priority) {
 	f := c.flow(p)
--- a/admission/levels_test.go
+++ b/admission/levels_test.go
@@ -57,3 +57,46 @@
 		So(l.Len(), ShouldBeLessThanOrEqualTo, admission.MaxLevels)
 	})
 }
+
+func TestUnknownCallersDontPushOutListedOnes(t *testing.T) {
+	Convey("Given a queue that has seen many callers that aren't listed", t, func() {
+		now := time.Unix(1_000_000, 0)
+		cfg := admission.DefaultConfig(2)
+		cfg.Callers = []admission.CallerShare{{Name: "parish", Share: 1}}
+		q := admission.NewQueue(cfg, now)
+		id := admission.TicketID(0)
+		var running []admission.TicketID
+		take := func(verdicts []admission.Verdict) {
+			for _, v := range verdicts {
+				if v.Kind == admission.Start {
+					running = append(running, v.Ticket)
+				}
+			}
+		}
+		arrive := func(caller string) {
+			id++
+			rank := call.Rank(uint64(id) * 0x9e3779b1 >> 8 & (1<<24 - 1))
+			a := admission.Arrival{Priority: call.PriorityOf(1, rank), Caller: caller, Operation: "plot"}
+			take(q.Arrive(now, id, a, nil))
+		}
+		for i := range 1000 {
+			arrive(time.Duration(i).String())
+		}
+		Convey("one that is listed keeps its share while they ask for too much", func() {
+			for range 200 {
+				for i := range 40 {
+					arrive(time.Duration(i).String())
+				}
+				arrive("parish")
+				now = now.Add(admission.TickInterval)
+				ended := running
+				running = nil
+				for _, ticket := range ended {
+					take(q.Finish(now, ticket, admission.Completed, nil))
+				}
+				take(q.Tick(now, nil))
+			}
+			So(q.Level("parish"), ShouldBeGreaterThan, q.Level("one of the others"))
+		})
+	})
+}
