admission: follow hints of other operations when a class opens again; forget a surge's demand while slots idle

Change: a newer answer to another operation of the service that admits the priority allows a probe each 50 ms; an estimate of demand is kept for 0.1 s while slots idle.

--- a/admission/control.go
+++ b/admission/control.go
@@ -102,9 +102,12 @@
 	return rooms
 }
 
+// idling reports whether slots have been idle for more than a moment.
+func (c *control) idling() bool { return c.idle >= idleTicks }
+
 // boost returns the factor on what is admitted while slots are idle.
 func (c *control) boost() float64 {
-	if c.idle < idleTicks {
+	if !c.idling() {
 		return 1
 	}
 	return math.Pow(idleGrowth, float64(min(c.idle-idleTicks+1, idleMost)))
--- a/admission/flows.go
+++ b/admission/flows.go
@@ -136,7 +136,9 @@
 }
 
 // tick brings the estimate up to date with the arrivals of the last interval.
-func (f *flow) tick(seconds float64) {
+// While slots are idle, an estimate that few arrivals confirm is kept for a short
+// time only, as it may stem from a surge that has ended.
+func (f *flow) tick(seconds float64, idle bool) {
 	exposure := float64(f.counted) / rankSpan * seconds
 	events := float64(f.arrivals)
 	f.arrivals = 0
@@ -149,7 +151,10 @@
 	}
 	perSecond := f.demand.value() * exposure / seconds
 	memory := flowMemoryMx.Seconds()
-	if perSecond > 0 {
+	switch {
+	case idle:
+		memory = flowMemory.Seconds()
+	case perSecond > 0:
 		memory = min(memory, max(flowMemory.Seconds(), flowSamples/perSecond))
 	}
 	f.demand.add(events, exposure, math.Exp(-seconds/memory))
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -13,6 +13,8 @@
 	levelExpiry   = time.Second            // age from which a level no longer holds
 	levelStale    = 300 * time.Millisecond // age from which a refused call may go as a probe
 	probeInterval = 250 * time.Millisecond // time between two probes of one service
+	hintNewer     = 20 * time.Millisecond  // by which another operation's level must be newer to count as a hint
+	hintInterval  = 50 * time.Millisecond  // time between two probes that follow a hint
 )
 
 // LevelVerdict tells whether an entry node lets a call pass.
@@ -41,17 +43,23 @@
 // it calls. It is not safe for concurrent use.
 type Levels struct {
 	learned map[levelKey]learned
+	hints   map[levelKey]learned // by service and caller: the last level of any operation
 	probes  map[string]time.Time // last probe of a service
 	swept   time.Time
 }
 
 // NewLevels returns an empty table: all calls are admitted.
 func NewLevels() *Levels {
-	return &Levels{learned: make(map[levelKey]learned), probes: make(map[string]time.Time)}
+	return &Levels{
+		learned: make(map[levelKey]learned),
+		hints:   make(map[levelKey]learned),
+		probes:  make(map[string]time.Time),
+	}
 }
 
 // Observe takes the level that an answer carried.
 func (l *Levels) Observe(now time.Time, service, operation, caller string, level call.Level) {
+	l.hint(now, levelKey{service: service, caller: caller}, level)
 	key := levelKey{service, operation, caller}
 	known, ok := l.learned[key]
 	if level == call.AdmitAll {
@@ -74,6 +82,29 @@
 	l.learned[key] = known
 }
 
+// hint takes the level as a hint for the other operations of the service.
+func (l *Levels) hint(now time.Time, key levelKey, level call.Level) {
+	_, ok := l.hints[key]
+	if !ok && level == call.AdmitAll {
+		return
+	}
+	if !ok && len(l.hints) >= MaxLevels {
+		l.sweep(now)
+		if len(l.hints) >= MaxLevels {
+			return
+		}
+	}
+	l.hints[key] = learned{level: level, at: now}
+}
+
+// hinted reports whether a newer answer to another operation suggests that the
+// level has risen above the priority. Only a probe can tell, as the operations
+// of a service may call different services.
+func (l *Levels) hinted(known learned, service, caller string, p call.Priority) bool {
+	hint, ok := l.hints[levelKey{service: service, caller: caller}]
+	return ok && hint.at.Sub(known.at) > hintNewer && hint.level.Admits(p)
+}
+
 // Check tells whether a call may pass.
 func (l *Levels) Check(now time.Time, service, operation, caller string, p call.Priority) LevelVerdict {
 	known, ok := l.learned[levelKey{service, operation, caller}]
@@ -83,16 +114,24 @@
 	if known.level.Admits(p) {
 		return LevelVerdict{Admit: true, Level: known.level}
 	}
-	if now.Sub(known.at) > levelStale && l.probe(now, service) {
+	if l.mayProbe(now, known, service, caller, p) {
 		return LevelVerdict{Admit: true, Probe: true, Level: known.level}
 	}
 	return LevelVerdict{Level: known.level, RetryAfter: retryAfter(now.Sub(known.since), p)}
 }
 
+// mayProbe reports whether a call that the level refuses may pass as a probe.
+func (l *Levels) mayProbe(now time.Time, known learned, service, caller string, p call.Priority) bool {
+	if now.Sub(known.at) > levelStale && l.probe(now, service, probeInterval) {
+		return true
+	}
+	return l.hinted(known, service, caller, p) && l.probe(now, service, hintInterval)
+}
+
 // probe reports whether a probe of the service is due, and counts it.
-func (l *Levels) probe(now time.Time, service string) bool {
+func (l *Levels) probe(now time.Time, service string, interval time.Duration) bool {
 	last, ok := l.probes[service]
-	if ok && now.Sub(last) < probeInterval {
+	if ok && now.Sub(last) < interval {
 		return false
 	}
 	if !ok && len(l.probes) >= MaxProbes {
@@ -113,6 +152,11 @@
 			delete(l.learned, key)
 		}
 	}
+	for key, hint := range l.hints {
+		if now.Sub(hint.at) > levelExpiry {
+			delete(l.hints, key)
+		}
+	}
 	for service, last := range l.probes {
 		if now.Sub(last) > levelExpiry {
 			delete(l.probes, service)
--- a/admission/levels_test.go
+++ b/admission/levels_test.go
@@ -40,6 +40,17 @@
 			}
 			So(probes, ShouldBeBetweenOrEqual, 1, 4)
 		})
+		Convey("a newer answer to another operation that admits them lets more probes pass, still bounded", func() {
+			probes := 0
+			for ms := range 200 {
+				at := time.Duration(ms) * time.Millisecond
+				l.Observe(start.Add(at), "search", "scan", "parish", call.Level(call.PriorityOf(3, 0)))
+				if check(l, at, browsing).Admit {
+					probes++
+				}
+			}
+			So(probes, ShouldBeBetweenOrEqual, 2, 4)
+		})
 		Convey("it no longer holds after a second, so it locks nothing out", func() {
 			So(check(l, 1100*time.Millisecond, browsing).Admit, ShouldBeTrue)
 		})
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -190,7 +190,7 @@
 	q.control.aim(&q.cfg, q.limit.limit())
 	for _, caller := range q.callers.list {
 		for class := range caller.flows {
-			caller.flows[class].tick(elapsed.Seconds())
+			caller.flows[class].tick(elapsed.Seconds(), q.control.idling())
 		}
 	}
 	q.control.levels(now, &q.cfg, q.callers.list, q.limit.limit(), &q.waiting, q.pressed)
