--- a/membership/config.go
+++ b/membership/config.go
@@ -29,6 +29,7 @@
 	fanout            = 3  // members that a claim is sent to with each tick
 	leaveFanout       = 12 // members that a leaving node tells itself
 	transmissions     = 15 // times that a node sends one claim
+	transmissionsFull = 4  // of these, in full; who then lacks the rest asks for it
 	transmissionsBulk = 6  // the same while more than bulkQueue claims wait
 	bulkQueue         = 200
 	packetsPerTick    = 8 // most gossip packets in one tick
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		c := claimOf(&r, t.now, t.cfg.Suspicion)
-		if item.full {
+		if item.full && item.sent < transmissionsFull {
 			c = fullClaimOf(&r, t.now, t.cfg.Suspicion)
 		}
 		size := claimBytes(&c)
