--- a/standin/slopes/main.go
+++ b/standin/slopes/main.go
@@ -44,6 +44,7 @@
 	processes := flag.String("processes", "10,50,100,200", "numbers of real processes")
 	gypsumd := flag.String("gypsumd", "bin/gypsumd", "path of the daemon")
 	inventory := flag.String("inventory", "examples/lindenhuber.yaml", "inventory that the processes get")
+	read := flag.String("read", "", "file with figures that earlier runs printed, to plot beside the new ones")
 	plots := flag.String("plots", "", "folder for the plots, none if empty")
 	flag.Parse()
 	o := options{gypsumd: *gypsumd, inventory: *inventory}
@@ -55,6 +56,11 @@
 		return err
 	}
 	r := &report{out: os.Stdout}
+	if *read != "" {
+		if err := r.read(*read); err != nil {
+			return err
+		}
+	}
 	parts := []part{
 		{"tables", measureTables},
 		{"entries", measureEntries},
