Split the home of keys from the way to it; ask the next home when one is lost

A refusal after the deadline could hide an earlier unknown. Change: paidRouter brings a call to homes, keyHome decides; a home that was lost before it answered is followed by the next one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,7 +62,8 @@
 	parents        *parentTable
 	delivery       *delivery
 	dispatcher     *dispatcher
-	paid           *paid
+	keyHome        *keyHome
+	paid           *paidRouter
 	entry          *entry
 	members        *members
 	configurations *configurations
@@ -149,7 +150,11 @@
 		attempts: attempts, link: calls, local: a.delivery, ring: a.ring, metrics: a.metrics,
 		unreachable: a.members.unreachable,
 	}
-	a.paid = newPaid(a, calls)
+	a.keyHome = newKeyHome(a)
+	a.paid = &paidRouter{
+		self: a.self.ID, directory: a.directory, dispatcher: a.dispatcher, link: calls,
+		home: a.keyHome, ring: a.ring, metrics: a.metrics,
+	}
 	a.entry = &entry{
 		now: a.now, config: a.inForce, ready: a.ready, draining: a.stopping.Load, fresh: a.members.fresh,
 		parents: a.parents, levels: levels, attempts: attempts, dispatcher: a.dispatcher,
@@ -193,11 +198,11 @@
 
 // targetChanged acts on a new state of the own target.
 func (a *Agent) targetChanged(service string, state fleet.State) {
-	a.paid.open(service)
+	a.keyHome.open(service)
 	a.delivery.setQueueConfig(a.queueConfig(service))
 	a.delivery.setDraining(state == fleet.Draining)
 	if state == fleet.Draining {
-		a.paid.drain()
+		a.keyHome.drain()
 	}
 	a.members.setTarget(service, a.slotsOf(service), state)
 	a.membersChanged([]string{service}) // the table tells only changes of others
@@ -304,7 +309,7 @@
 	go a.members.listen()
 	go every(ctx, membership.TickInterval, a.members.tick)
 	go every(ctx, admission.TickInterval, a.delivery.tick)
-	go every(ctx, claimTick, a.paid.tick)
+	go every(ctx, claimTick, a.keyHome.tick)
 	go every(ctx, leaseTick, a.target.expire)
 	go every(ctx, rolloutTick, a.rolloutTick)
 	go every(ctx, boundaryTick, a.watchBoundary())
@@ -366,7 +371,7 @@
 	for idle < quietTime && a.now().Before(deadline) {
 		time.Sleep(step)
 		idle += step
-		if a.inFlight.Load() > 0 || a.delivery.stats().Running > 0 || a.paid.running() > 0 {
+		if a.inFlight.Load() > 0 || a.delivery.stats().Running > 0 || a.keyHome.running() > 0 {
 			idle = 0
 		}
 	}
--- a/agent/doc.go
+++ b/agent/doc.go
@@ -11,8 +11,8 @@
 // entry links a call to its request (class, rank, deadline, attempts) and
 // refuses what deeper services would refuse. dispatcher chooses targets and
 // tries again where that is allowed. delivery holds the queue in front of the
-// own target. Calls of at-most-once operations pass paid first, which lets the
-// home of their idempotency key run them.
+// own target. Calls of at-most-once operations pass paidRouter first, which brings
+// them to the home of their idempotency key; keyHome lets each key run once.
 //
 // # Locks
 //
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -28,7 +28,7 @@
 	levels     *levelTable
 	attempts   *attemptTable
 	dispatcher *dispatcher
-	paid       *paid
+	paid       *paidRouter
 	ring       *ringTable
 	metrics    *metrics.Set
 }
--- a/agent/link/link.go
+++ b/agent/link/link.go
@@ -143,6 +143,7 @@
 func failure(sent bool, grant int, node fleet.InstanceID) *exchange.Reply {
 	if sent {
 		reply := exchange.Lost()
+		reply.NoAnswer = true
 		reply.Node = node
 		return reply
 	}
--- a/agent/peerserver.go
+++ b/agent/peerserver.go
@@ -34,7 +34,7 @@
 	if r.Count < 1 || r.Count > maxIssuedKeys {
 		return nil, twirp.InvalidArgument.Errorf("count: want a number from 1 to %d", maxIssuedKeys)
 	}
-	keys, err := s.agent.paid.issue(r.Service, int(r.Count))
+	keys, err := s.agent.keyHome.issue(r.Service, int(r.Count))
 	if err != nil {
 		return nil, twirp.FailedPrecondition.Errorf("%v", err)
 	}
@@ -43,7 +43,7 @@
 
 // issueKeys issues keys here, or at a node of the service.
 func (a *Agent) issueKeys(ctx context.Context, service string, count int) ([]string, fleet.InstanceID, error) {
-	if keys, err := a.paid.issue(service, count); err == nil {
+	if keys, err := a.keyHome.issue(service, count); err == nil {
 		return keys, a.self.ID, nil
 	}
 	failure := twirp.Unavailable.Errorf("no live target offers service %q", service)
--- a/agent/server.go
+++ b/agent/server.go
@@ -192,7 +192,7 @@
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
 	key = key.For(request.Call.Caller, request.Call.Operation)
-	a.answerPeer(w, request.Call.Request, a.paid.serve(r.Context(), request, op, key))
+	a.answerPeer(w, request.Call.Request, a.keyHome.serve(r.Context(), request, op, key))
 }
 
 func (a *Agent) operationOf(c *call.Call) *inventory.Operation {
