Rollout: a refused version hides no older good one from a starting node

It now remembers the versions told. The oracle is stricter: it holds each version told against the node.

--- a/rollout/config.go
+++ b/rollout/config.go
@@ -6,6 +6,7 @@
 	pullRetry  = time.Second // after a pull that failed
 	maxPeers   = 32          // peers that are remembered as having a newer version
 	maxRefused = 256         // refused versions that are remembered
+	maxTold    = 64          // versions that a starting node remembers to have been told
 )
 
 // Config holds what differs between fleets. A zero field takes its default.
--- a/rollout/machine_test.go
+++ b/rollout/machine_test.go
@@ -29,7 +29,7 @@
 
 	platform bool
 	answers  map[fleet.InstanceID]bool
-	told     uint64
+	told     []uint64
 	wasReady bool
 }
 
@@ -86,14 +86,14 @@
 	peer, version := o.drawPeer(t), o.drawVersion(t)
 	o.table.PeerAnswered(o.now, peer, version)
 	o.answers[peer] = true
-	o.told = max(o.told, version)
+	o.told = append(o.told, version)
 }
 
 func (o *oracle) platformAnswered(t *rapid.T) {
 	version := o.drawVersion(t)
 	o.table.PlatformAnswered(o.now, version)
 	o.platform = true
-	o.told = max(o.told, version)
+	o.told = append(o.told, version)
 }
 
 func (o *oracle) pullFailed(t *rapid.T) {
@@ -125,9 +125,13 @@
 	}
 	o.wasReady = o.table.Ready(o.now)
 	enough := o.platform || len(o.answers) >= 3
-	current := o.version > 0 && (o.version >= o.told || o.bad[o.told] && o.checked[o.told])
+	current := o.version > 0
+	for _, version := range o.told {
+		refused := o.bad[version] && o.checked[version]
+		current = current && (o.version >= version || refused)
+	}
 	if o.wasReady != (enough && current) {
-		t.Fatalf("ready: %t, with version %d, told %d, platform %t, %d answers",
+		t.Fatalf("ready: %t, with version %d, told %v, platform %t, %d answers",
 			o.wasReady, o.version, o.told, o.platform, len(o.answers))
 	}
 }
--- a/rollout/startup.go
+++ b/rollout/startup.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gypsumford/gypsumford/fleet"
@@ -9,8 +10,8 @@
 // startup is what a new node has been told of the version in force elsewhere.
 type startup struct {
 	ready    bool
-	platform bool   // has answered
-	told     uint64 // highest version that the platform or a peer told
+	platform bool     // has answered
+	told     []uint64 // versions that the platform or a peer told, in order
 	answers  map[fleet.InstanceID]uint64
 }
 
@@ -34,8 +35,16 @@
 }
 
 func (t *Table) tell(version uint64) {
-	if !t.isRefused(version) {
-		t.startup.told = max(t.startup.told, version)
+	if t.startup.ready {
+		return
+	}
+	i, known := slices.BinarySearch(t.startup.told, version)
+	if known {
+		return
+	}
+	t.startup.told = slices.Insert(t.startup.told, i, version)
+	if len(t.startup.told) > maxTold {
+		t.startup.told = slices.Delete(t.startup.told, 0, 1)
 	}
 }
 
@@ -66,8 +75,10 @@
 
 // told returns the highest version told that is not refused.
 func (t *Table) told() uint64 {
-	if t.isRefused(t.startup.told) {
-		return 0
+	for _, version := range slices.Backward(t.startup.told) {
+		if !t.isRefused(version) {
+			return version
+		}
 	}
-	return t.startup.told
+	return 0
 }
