Membership: bound what a packet from a stranger can set off

Cause: a table asks an unknown sender for its record. Change: packets that answer set off no question, and a table sends at most 16 packets a tick beside answers to probes and comparisons.

--- a/membership/config.go
+++ b/membership/config.go
@@ -37,6 +37,7 @@
 	maxRelays         = 256
 	maxDoubts         = 1024 // members that wait to be probed on another's word
 	doubtsPerTick     = 4
+	repliesPerTick    = 16
 	deadRetryShare    = 8 // one random probe in so many goes to a dead member
 	maxConfigPeers    = 16
 	maxProbes         = 256
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -46,19 +46,31 @@
 func (t *Table) noteSender(p *pb.Packet, from string, wanted *[]reference) []Message {
 	sender, known := t.members.get(reference(p.From))
 	if !known {
-		*wanted = append(*wanted, reference(p.From))
+		if p.Kind != pb.Kind_KIND_GOSSIP { // which answers a question, so the next one would follow
+			*wanted = append(*wanted, reference(p.From))
+		}
 		return nil
 	}
 	t.noteConfigVersion(&sender, p.ConfigVersion)
 	if sender.health == alive || sender.health == left || p.Kind == pb.Kind_KIND_PING {
 		return nil // the answer to a ping carries the claim
 	}
+	if !t.mayReply() {
+		return nil
+	}
 	reply := t.packet(pb.Kind_KIND_GOSSIP)
 	t.addBelief(reply, &sender)
 	t.addBelief(reply, &t.self) // else two nodes that hold each other for dead answer each other forever
 	return t.send(nil, from, reply)
 }
 
+// mayReply counts the packets beside the answers to probes and comparisons, so that
+// two nodes can't keep each other busy whatever they disagree on.
+func (t *Table) mayReply() bool {
+	t.replies++
+	return t.replies <= repliesPerTick
+}
+
 func (t *Table) answer(out []Message, p *pb.Packet, from string) []Message {
 	switch p.Kind {
 	case pb.Kind_KIND_PING:
@@ -81,7 +93,7 @@
 
 // ask requests the full records of members that a packet named.
 func (t *Table) ask(out []Message, from string, wanted []reference) []Message {
-	if len(wanted) == 0 {
+	if len(wanted) == 0 || !t.mayReply() {
 		return out
 	}
 	slices.Sort(wanted)
--- a/membership/table.go
+++ b/membership/table.go
@@ -40,6 +40,7 @@
 	lastSweep time.Duration
 
 	gossipBytes float64 // that may be sent now
+	replies     int     // since the last tick, see mayReply
 	urgent      bool    // there is news to pass on before the next tick
 	lastHeard   time.Duration
 
@@ -98,6 +99,7 @@
 	t.clock(now)
 	gap := t.now - t.ticked
 	t.ticked = t.now
+	t.replies = 0
 	if gap > pauseLimit {
 		t.resume(gap)
 	}
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -260,6 +260,46 @@
 	})
 }
 
+// TestUnknownSenderThatLeftIsNotAskedForever holds that a question for a record which
+// the asker can't take is not asked again for each answer.
+func TestUnknownSenderThatLeftIsNotAskedForever(t *testing.T) {
+	convey.Convey("Given a node that has left and a table that does not know it", t, func() {
+		stranger := membership.NewTable(membership.Config{}, instance(1), start, 3)
+		a := membership.NewTable(membership.Config{}, instance(0), start, 5)
+		_, err := stranger.Merge(start, a.Snapshot(start))
+		convey.So(err, convey.ShouldBeNil)
+		var pings []membership.Message
+		now := start
+		for len(pings) == 0 || now.Sub(start) < 2*time.Second { // until its own record is told
+			now = now.Add(membership.TickInterval)
+			pings = stranger.Tick(now)
+		}
+		stranger.Leave(now)
+		convey.Convey("its packets cause a bounded number of others", func() {
+			convey.So(exchangeAll(pings, a, stranger, now), convey.ShouldBeLessThan, 20)
+		})
+	})
+}
+
+// exchangeAll delivers messages to a and b, and their answers, until there are none,
+// at most 100, and returns the number.
+func exchangeAll(inFlight []membership.Message, a, b *membership.Table, now time.Time) int {
+	passed := 0
+	for len(inFlight) > 0 && passed < 100 {
+		m := inFlight[0]
+		inFlight = inFlight[1:]
+		passed++
+		to, from := a, instance(1).PeerAddress
+		if m.To == instance(1).PeerAddress {
+			to, from = b, instance(0).PeerAddress
+		}
+		answers, err := to.Receive(now, from, m.Data)
+		convey.So(err, convey.ShouldBeNil)
+		inFlight = append(inFlight, answers...)
+	}
+	return passed
+}
+
 // TestMutualDeathEnds holds that two nodes that hold each other for dead exchange
 // a bounded number of packets about it.
 func TestMutualDeathEnds(t *testing.T) {
@@ -276,19 +316,7 @@
 		}
 		convey.So(a.Len(), convey.ShouldEqual, 1)
 		convey.So(b.Len(), convey.ShouldEqual, 1)
-		passed := 0
-		for len(inFlight) > 0 && passed < 100 {
-			m := inFlight[0]
-			inFlight = inFlight[1:]
-			passed++
-			to, from := a, instance(1).PeerAddress
-			if m.To == instance(1).PeerAddress {
-				to, from = b, instance(0).PeerAddress
-			}
-			answers, err := to.Receive(now, from, m.Data)
-			convey.So(err, convey.ShouldBeNil)
-			inFlight = append(inFlight, answers...)
-		}
+		passed := exchangeAll(inFlight, a, b, now)
 		convey.So(passed, convey.ShouldBeLessThan, 30)
 		convey.So(a.Len(), convey.ShouldEqual, 2)
 		convey.So(b.Len(), convey.ShouldEqual, 2)
