--- a/agent/exchange/exchange.go
+++ b/agent/exchange/exchange.go
@@ -40,7 +40,7 @@
 	HasLoad       bool
 	Lamport       uint64 // logical time of a peer's answer, 0 for an own one
 	Draining      bool   // the instance takes no new calls
-	NoAnswer      bool // the connection broke before an answer came
+	NoAnswer      bool   // the connection broke before an answer came
 	ConnectFailed bool   // no connection to the instance could be had
 }
 
