Send calls of a dead target on; keep an order with the home that claimed it

When a home's run was refused as draining, the next home was asked, found the claim, and answered unknown. Change: a target that takes no connection is given up at once and the fleet told; a late one keeps what reaches it, its lease is 5 s again; only a home that itself leaves is followed by the next one; claims are paced by the number of services with paid operations; a stopping node closes connections after their answer. The test of the dead target fails before with no-target, without the fleet told.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -198,7 +198,9 @@
 
 // targetChanged acts on a new state of the own target.
 func (a *Agent) targetChanged(service string, state fleet.State) {
-	a.keyHome.open(service)
+	if config := a.inForce.get(); config != nil {
+		a.keyHome.open(service, config.paidServices())
+	}
 	a.delivery.setQueueConfig(a.queueConfig(service))
 	a.delivery.setDraining(state == fleet.Draining)
 	if state == fleet.Draining {
--- a/agent/delivery.go
+++ b/agent/delivery.go
@@ -153,6 +153,10 @@
 	d.metrics.Attempts.Add(1)
 	d.ring.call(timeline.Started, &r.Call, d.className(&r.Call), "")
 	reply := d.link.Target(ctx, address, r, d.targetFields(&r.Call, parent.token))
+	if reply.ConnectFailed {
+		d.target.lost()
+		reply = exchange.Refuse(call.ReasonDraining, 0, r.Call.Grant) // another target may take it
+	}
 	unspent, level := parent.close()
 	if reply.Outcome != call.NotRun {
 		reply.Unspent = unspent
--- a/agent/keyhome.go
+++ b/agent/keyhome.go
@@ -87,7 +87,7 @@
 	h.mu.Lock()
 	if h.mu.home == nil || h.mu.service != r.Call.Service {
 		h.mu.Unlock()
-		return exchange.Refuse(call.ReasonNoTarget, noTargetRetryAfter, r.Call.Grant)
+		return exchange.Refuse(call.ReasonDraining, 0, r.Call.Grant) // another home may decide
 	}
 	h.mu.next++
 	id := h.mu.next
@@ -124,13 +124,14 @@
 	h.perform(actions)
 }
 
-// open makes this node a home for keys of the service.
-func (h *keyHome) open(service string) {
+// open makes this node a home for keys of the service. paidServices is the
+// number of services that share the platform's writes.
+func (h *keyHome) open(service string, paidServices int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.mu.home == nil {
 		h.mu.service = service
-		h.mu.home = claim.NewHome(claim.Config{}, h.self, service, h.now())
+		h.mu.home = claim.NewHome(claim.Config{CommitInterval: claim.CommitIntervalFor(paidServices)}, h.self, service, h.now())
 	}
 }
 
@@ -278,6 +279,11 @@
 		answer.Kind, answer.Answer = claim.Reply, result.Answer
 	case call.NotRun:
 		answer.Kind, answer.Reason, answer.RetryAfter = claim.RefuseNotRun, result.Reason, result.RetryAfter
+		if result.Reason == call.ReasonDraining {
+			// The targets are leaving, not this home: it holds the claim, so no other
+			// home can run the key.
+			answer.Reason, answer.RetryAfter = call.ReasonNoTarget, noTargetRetryAfter
+		}
 	default:
 		answer.Kind = claim.AnswerUnknown
 	}
--- a/agent/paid.go
+++ b/agent/paid.go
@@ -68,7 +68,7 @@
 // mayAskNextHome reports whether another home may know more: this one was not
 // reached, is leaving, or was lost before it answered.
 func mayAskNextHome(reply *exchange.Reply) bool {
-	return reply.ConnectFailed || reply.Draining || reply.NoAnswer || reply.Reason == call.ReasonNoTarget
+	return reply.ConnectFailed || reply.Draining || reply.NoAnswer
 }
 
 // conclude is the answer to a call that no home completed.
--- a/agent/promises_test.go
+++ b/agent/promises_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/gypsumford/gypsumford/call"
 	"github.com/gypsumford/gypsumford/callhttp"
+	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/timeline"
 )
 
@@ -148,16 +149,7 @@
 	})
 	Convey("A call that was meant for an instance which had this address before is not run", t, func() {
 		runs := shop.runs.Load()
-		request, _ := http.NewRequest(http.MethodGet, "http://"+shop.agent.self.PeerAddress+"/deliver/shop/look", nil)
-		for name, value := range map[string]string{
-			callhttp.HeaderRequestID: "r1", callhttp.HeaderInstance: "an-earlier-process", callhttp.HeaderTimeout: "1000",
-			callhttp.HeaderClass: "1", callhttp.HeaderGrant: "1", callhttp.HeaderDepth: "0", callhttp.HeaderLamport: "1",
-		} {
-			request.Header.Set(name, value)
-		}
-		response, err := http.DefaultClient.Do(request)
-		So(err, ShouldBeNil)
-		response.Body.Close()
+		response := deliver(t, shop, "/deliver/shop/look", "an-earlier-process")
 		So(response.Header.Get(callhttp.HeaderOutcome), ShouldEqual, "not-run")
 		So(response.Header.Get(callhttp.HeaderUnspent), ShouldEqual, "1")
 		So(shop.runs.Load(), ShouldEqual, runs)
@@ -206,3 +198,37 @@
 	}
 	return events[0].Lamport
 }
+
+// deliver sends a call as another node would, meant for the given instance.
+func deliver(t *testing.T, n *testNode, path string, meant fleet.InstanceID) *http.Response {
+	t.Helper()
+	request, _ := http.NewRequest(http.MethodGet, "http://"+n.agent.self.PeerAddress+path, nil)
+	for name, value := range map[string]string{
+		callhttp.HeaderRequestID: "r1", callhttp.HeaderInstance: string(meant), callhttp.HeaderTimeout: "1000",
+		callhttp.HeaderClass: "1", callhttp.HeaderGrant: "1", callhttp.HeaderDepth: "0", callhttp.HeaderLamport: "1",
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	return response
+}
+
+func TestCallsOfADeadTargetGoElsewhere(t *testing.T) {
+	shop, stock, _ := startShop(t)
+	stock.target.CloseClientConnections()
+	stock.target.Listener.Close()
+	Convey("When a target dies and its node lives, calls are sent on to other targets and the fleet is told", t, func() {
+		response := deliver(t, stock, "/deliver/stock/count", stock.agent.self.ID)
+		So(response.Header.Get(callhttp.HeaderOutcome), ShouldEqual, "not-run")
+		So(response.Header.Get(callhttp.HeaderReason), ShouldEqual, "draining")
+		So(response.Header.Get(callhttp.HeaderUnspent), ShouldEqual, "1")
+		until(t, "the other node knows that the target takes no calls", func() (bool, any) {
+			known, _ := shop.agent.directory.instance(stock.agent.self.ID)
+			return known.State == fleet.Starting, known
+		})
+	})
+}
--- a/agent/server.go
+++ b/agent/server.go
@@ -35,6 +35,7 @@
 // callRouter serves callers and the own target.
 func (a *Agent) callRouter() http.Handler {
 	r := chi.NewRouter()
+	r.Use(a.closing)
 	r.HandleFunc(callPrefix+"{service}/{operation}", a.handleCall)
 	r.HandleFunc(callPrefix+"{service}/{operation}/*", a.handleCall)
 	r.Post("/target/announce", a.handleAnnounce)
@@ -47,6 +48,7 @@
 // peerRouter serves other nodes, operators and monitoring.
 func (a *Agent) peerRouter() http.Handler {
 	r := chi.NewRouter()
+	r.Use(a.closing)
 	r.HandleFunc(link.DeliverPath+"{service}/{operation}", a.handleDeliver)
 	r.HandleFunc(link.DeliverPath+"{service}/{operation}/*", a.handleDeliver)
 	r.HandleFunc(link.HomePath+"{service}/{operation}", a.handleHome)
@@ -59,6 +61,17 @@
 	return r
 }
 
+// closing makes senders of a stopping node open their next connection elsewhere,
+// so that none is cut off when the listener closes.
+func (a *Agent) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // bounded refuses control messages that are too large to be meant.
 func bounded(h http.Handler) http.Handler { return http.MaxBytesHandler(h, maxControlBytes) }
 
--- a/agent/target.go
+++ b/agent/target.go
@@ -16,7 +16,7 @@
 
 const (
 	// targetLease is how long an announcement of the target holds.
-	targetLease = 3 * time.Second
+	targetLease = 5 * time.Second
 	// maxAnnouncementBytes caps the body of an announcement.
 	maxAnnouncementBytes = 4 << 10
 )
@@ -143,14 +143,23 @@
 	t.tell()
 }
 
-// addressOf returns the target's address if it takes calls of the service now.
+// lost notes that the target took no connection; its next announcement makes it
+// ready again.
+func (t *target) lost() {
+	t.mu.Lock()
+	t.mu.lapsed = true
+	t.mu.Unlock()
+	t.tell()
+}
+
+// addressOf returns the target's address if calls of the service may be handed
+// to it. A call that is here already is handed over also when the lease has run
+// out: the target may only be late.
 func (t *target) addressOf(service string) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.mu.service != service || t.effective() != fleet.Ready {
-		return "", false
-	}
-	return t.mu.address, true
+	takes := t.mu.state == fleet.Ready && !t.mu.draining && t.nodeReady()
+	return t.mu.address, takes && t.mu.service == service
 }
 
 // get returns service, address and effective state.
