--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,7 @@
 
 .PHONY: slopes
 
-# Figures of docs/CAPACITY.md; needs up to 8 GB of memory and some minutes.
+# Figures of docs/CAPACITY.md; takes many minutes at 19,000 nodes. Parts alone: see
+# `go run ./standin/slopes -h`.
 slopes: build
 	go run ./standin/slopes -gypsumd bin/gypsumd -plots docs/capacity
