Retry a lost child call from its parent's attempts

A child call passed all of its attempts with its first try, so a lost answer left none for the retry that its operation allows. Ruled out: the retry budget (a burst of 10 a link, 3 calls in flight a node). Change: a retry takes further attempts from the parent's grant; a first try is passed half where half is known to suffice; lost tries don't raise the need. The new test fails before with 502. The guard of a draining target stands once. The test of the dead target no longer races the target's own announcements.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -49,6 +49,7 @@
 	done   chan struct{}
 	target *httptest.Server
 	runs   atomic.Int64
+	silent atomic.Bool // the target no longer announces itself
 }
 
 func startNode(t testing.TB, platformURL, service string, handle func(n *testNode, w http.ResponseWriter, r *http.Request)) *testNode {
@@ -89,6 +90,9 @@
 	address := strings.TrimPrefix(n.target.URL, "http://")
 	body, _ := json.Marshal(Announcement{Service: service, Address: address, State: "ready"})
 	post := func() {
+		if n.silent.Load() {
+			return
+		}
 		response, err := http.Post("http://"+n.agent.callAddress()+"/target/announce", "application/json", bytes.NewReader(body))
 		if err == nil {
 			response.Body.Close()
--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -48,6 +48,8 @@
 	op       *inventory.Operation
 	prefer   fleet.InstanceID
 	pot      attempt.Pot
+	granted  int // attempts that the pot has held in all
+	wasted   int // attempts of tries whose answer was lost
 	excluded []fleet.InstanceID
 	tries    int
 	lost     bool // a target was given the call and did not answer
@@ -58,11 +60,11 @@
 // grant.
 func (d *dispatcher) do(ctx context.Context, r *exchange.Request, op *inventory.Operation, prefer fleet.InstanceID) *exchange.Reply {
 	ctx, cancel := withDeadline(ctx, r.Call.Deadline.Add(answerGrace))
-	t := &trial{request: r, op: op, prefer: prefer, pot: attempt.NewPot(r.Call.Grant)}
+	t := &trial{request: r, op: op, prefer: prefer, pot: attempt.NewPot(r.Call.Grant), granted: r.Call.Grant}
 	reply := d.tryUntilDone(ctx, t)
 	reply.Unspent = t.pot.Left()
 	if reply.Outcome == call.Completed {
-		d.attempts.completed(d.now(), &r.Call, r.Call.Grant-reply.Unspent, d.config.get().inventory.Retry.BudgetPercent)
+		d.attempts.completed(d.now(), &r.Call, t.granted-t.wasted-reply.Unspent, d.config.get().inventory.Retry.BudgetPercent)
 		reply.Body = closeAfter(reply.Body, cancel)
 		return reply
 	}
@@ -97,7 +99,7 @@
 		if reply.Outcome == call.Unknown {
 			t.lost = true
 		}
-		if reply.Outcome == call.Completed || !d.mayRetry(ctx, t, reply) {
+		if reply.Outcome == call.Completed || !d.mayRetry(ctx, t, reply) || !t.refill() {
 			return reply
 		}
 		t.excluded = append(t.excluded, reply.Node)
@@ -112,7 +114,7 @@
 // mayRetry decides whether the call may be sent again after the reply.
 func (d *dispatcher) mayRetry(ctx context.Context, t *trial, reply *exchange.Reply) bool {
 	retry := d.config.get().inventory.Retry
-	if t.tries >= retry.MaxPerCall || t.pot.Left() == 0 || ctx.Err() != nil {
+	if t.tries >= retry.MaxPerCall || ctx.Err() != nil {
 		return false
 	}
 	if reply.Outcome == call.Unknown && !t.op.Repeatable {
@@ -163,7 +165,7 @@
 func (d *dispatcher) tryHedged(ctx context.Context, t *trial) *exchange.Reply {
 	after, ok := d.hedgeAfter(t)
 	if !ok {
-		return d.tryOnce(ctx, t, t.pot.Take(t.pot.Left()))
+		return d.tryOnce(ctx, t, t.pot.Take(d.firstShare(t)))
 	}
 	return d.hedge(ctx, t, after)
 }
@@ -181,6 +183,34 @@
 	return d.routes.hedgeAfter(d.now(), t.request.Call.Service, t.request.Call.Operation)
 }
 
+// firstShare is what the next try is passed: half of what is left if the call may
+// be sent again and half is known to suffice, as a lost answer takes all that its
+// try was passed; all of it otherwise.
+func (d *dispatcher) firstShare(t *trial) int {
+	left := t.pot.Left()
+	need, known := d.attempts.need(t.request.Call.Service, t.request.Call.Operation)
+	half := (left + 1) / 2
+	if t.op.Repeatable && known && need <= half {
+		return half
+	}
+	return left
+}
+
+// refill takes attempts for a retry from the parent call if none is left, and
+// reports whether there is any.
+func (t *trial) refill() bool {
+	if t.pot.Left() > 0 {
+		return true
+	}
+	if t.request.MoreAttempts == nil {
+		return false
+	}
+	more := t.request.MoreAttempts()
+	t.granted += more
+	t.pot = attempt.NewPot(more)
+	return more > 0
+}
+
 // tryOnce sends the call to one chosen instance with the given attempts.
 func (d *dispatcher) tryOnce(ctx context.Context, t *trial, grant int) *exchange.Reply {
 	if grant == 0 {
@@ -193,6 +223,9 @@
 	}
 	reply := d.send(ctx, t.request, chosen, grant)
 	t.pot.Return(reply.Unspent)
+	if reply.Outcome == call.Unknown {
+		t.wasted += grant - reply.Unspent
+	}
 	return reply
 }
 
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -96,8 +96,12 @@
 	if timeout := in.fields.Timeout; timeout > 0 && now.Add(timeout).Before(child.Deadline) {
 		child.Deadline = now.Add(timeout)
 	}
-	child.Grant = parent.take(func(left int) int { return e.attempts.share(in.service, in.operation, left) })
+	take := func() int {
+		return parent.take(func(left int) int { return e.attempts.share(in.service, in.operation, left) })
+	}
+	child.Grant = take()
 	in.request.Call = child
+	in.request.MoreAttempts = take
 	if child.Grant == 0 || child.Depth > callhttp.MaxDepth {
 		parent.giveBack(child.Grant, call.AdmitAll)
 		return exchange.Refuse(call.ReasonAttempts, 0, 0)
--- a/agent/exchange/exchange.go
+++ b/agent/exchange/exchange.go
@@ -21,6 +21,10 @@
 	Query  string // raw query without "?"
 	Header http.Header
 	Body   []byte
+
+	// MoreAttempts takes further attempts for a retry from the parent call, nil
+	// if there is none.
+	MoreAttempts func() int
 }
 
 // Reply is the answer to a Request. Its receiver closes Body.
--- a/agent/promises_test.go
+++ b/agent/promises_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,6 +220,7 @@
 
 func TestCallsOfADeadTargetGoElsewhere(t *testing.T) {
 	shop, stock, _ := startShop(t)
+	stock.silent.Store(true)
 	stock.target.CloseClientConnections()
 	stock.target.Listener.Close()
 	Convey("When a target dies and its node lives, calls are sent on to other targets and the fleet is told", t, func() {
@@ -232,3 +234,30 @@
 		})
 	})
 }
+
+func TestLostChildCallIsRetriedFromItsParentsAttempts(t *testing.T) {
+	fake, url := newFakePlatform(t)
+	fake.put(ConfigKey, []byte(testInventory))
+	shop := startNode(t, url, "shop", askStock)
+	var fail atomic.Int64 // calls that the targets of stock break off
+	breaking := func(n *testNode, w http.ResponseWriter, r *http.Request) {
+		if fail.Add(-1) >= 0 {
+			panic(http.ErrAbortHandler)
+		}
+		countStock(n, w, r)
+	}
+	startNode(t, url, "stock", breaking)
+	startNode(t, url, "stock", breaking)
+	until(t, "both targets of stock are known and calls complete", func() (bool, any) {
+		got := shop.call("shop/look", "")
+		return got.status == http.StatusOK && len(shop.agent.directory.service("stock")) == 2, got
+	})
+	Convey("A child call whose answer is lost completes at another target, within the request's attempts", t, func() {
+		for range 5 {
+			fail.Store(1)
+			got := shop.call("shop/look", "")
+			So(got.status, ShouldEqual, http.StatusOK)
+			So(got.body, ShouldContainSubstring, "12 chairs")
+		}
+	})
+}
--- a/agent/target.go
+++ b/agent/target.go
@@ -115,10 +115,18 @@
 
 // effective is the state that the fleet is told. t.mu must be held.
 func (t *target) effective() fleet.State {
+	if state := t.present(); state != fleet.Ready || !t.mu.lapsed {
+		return state
+	}
+	return fleet.Starting
+}
+
+// present is the state without regard to the lease. t.mu must be held.
+func (t *target) present() fleet.State {
 	switch {
 	case t.mu.draining:
 		return fleet.Draining
-	case t.mu.lapsed || !t.nodeReady():
+	case !t.nodeReady():
 		return fleet.Starting
 	default:
 		return t.mu.state
@@ -158,8 +166,7 @@
 func (t *target) addressOf(service string) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	takes := t.mu.state == fleet.Ready && !t.mu.draining && t.nodeReady()
-	return t.mu.address, takes && t.mu.service == service
+	return t.mu.address, t.mu.service == service && t.present() == fleet.Ready
 }
 
 // get returns service, address and effective state.
