Let the test of a dead target pass over its broken connections

The test repeats the call until a new connection is needed and then asks for the same refusal as before.

--- a/agent/promises_test.go
+++ b/agent/promises_test.go
@@ -224,7 +224,12 @@
 	stock.target.CloseClientConnections()
 	stock.target.Listener.Close()
 	Convey("When a target dies and its node lives, calls are sent on to other targets and the fleet is told", t, func() {
-		response := deliver(t, stock, "/deliver/stock/count", stock.agent.self.ID)
+		var response *http.Response
+		until(t, "the node's kept connections to the target have broken", func() (bool, any) {
+			response = deliver(t, stock, "/deliver/stock/count", stock.agent.self.ID)
+			outcome := response.Header.Get(callhttp.HeaderOutcome)
+			return outcome != "unknown", outcome
+		})
 		So(response.Header.Get(callhttp.HeaderOutcome), ShouldEqual, "not-run")
 		So(response.Header.Get(callhttp.HeaderReason), ShouldEqual, "draining")
 		So(response.Header.Get(callhttp.HeaderUnspent), ShouldEqual, "1")
