--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -49,7 +49,7 @@
 	prefer   fleet.InstanceID
 	pot      attempt.Pot
 	granted  int // attempts that the pot has held in all
-	wasted   int // attempts of tries whose answer was lost
+	wasted   int // attempts of tries whose answer was lost or not needed
 	excluded []fleet.InstanceID
 	tries    int
 	lost     bool // a target was given the call and did not answer
@@ -96,9 +96,6 @@
 	for {
 		t.tries++
 		reply := d.tryHedged(ctx, t)
-		if reply.Outcome == call.Unknown {
-			t.lost = true
-		}
 		if reply.Outcome == call.Completed || !d.mayRetry(ctx, t, reply) || !t.refill() {
 			return reply
 		}
@@ -223,12 +220,19 @@
 	}
 	reply := d.send(ctx, t.request, chosen, grant)
 	t.pot.Return(reply.Unspent)
-	if reply.Outcome == call.Unknown {
-		t.wasted += grant - reply.Unspent
-	}
+	t.noteLost(reply, grant)
 	return reply
 }
 
+// noteLost takes note of a try that a target was given and did not answer.
+func (t *trial) noteLost(reply *exchange.Reply, grant int) {
+	if reply.Outcome != call.Unknown {
+		return
+	}
+	t.lost = true
+	t.wasted += grant - reply.Unspent
+}
+
 // choose picks an instance and notes that a call goes there; send must follow.
 func (d *dispatcher) choose(t *trial, excluded []fleet.InstanceID) (fleet.Instance, bool) {
 	ask := routing.Ask{Exclude: excluded, Operation: t.request.Call.Operation, Prefer: t.prefer}
--- a/agent/hedge.go
+++ b/agent/hedge.go
@@ -15,6 +15,7 @@
 // hedgeTry is one of the two tries of a hedged call.
 type hedgeTry struct {
 	to     fleet.InstanceID
+	grant  int // attempts that the try was passed
 	cancel context.CancelFunc
 	reply  *exchange.Reply // set when the try is done
 }
@@ -58,7 +59,7 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	try := &hedgeTry{to: chosen.ID, cancel: cancel}
+	try := &hedgeTry{to: chosen.ID, grant: grant, cancel: cancel}
 	request := t.request
 	go func() {
 		try.reply = d.send(ctx, request, chosen, grant)
@@ -84,6 +85,7 @@
 		loser = second
 	}
 	loser.cancel()
+	t.wasted += loser.grant
 	go func() {
 		discarded := <-done
 		_ = discarded.reply.Body.Close()
@@ -110,7 +112,7 @@
 func settle(t *trial, try *hedgeTry) *exchange.Reply {
 	t.pot.Return(try.reply.Unspent)
 	if try.reply.Outcome != call.Completed {
-		t.lost = t.lost || try.reply.Outcome == call.Unknown
+		t.noteLost(try.reply, try.grant)
 		try.cancel()
 		return try.reply
 	}
--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -19,6 +19,10 @@
 // the runtime's default does, which saves processor time on the path of a call.
 const gcPercent = 400
 
+// memoryLimitBytes makes the collector run earlier when the memory nears it.
+// Nodes that carry many large bodies want a higher one, see GOMEMLIMIT.
+const memoryLimitBytes = 64 << 20
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -30,9 +34,7 @@
 		return set.Report(err, os.Stdout, os.Stderr)
 	}
 	log := logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil))
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
+	tuneCollector()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	node, err := agent.New(parsed, log)
@@ -46,3 +48,13 @@
 	}
 	return 0
 }
+
+// tuneCollector sets what the runtime's own variables don't.
+func tuneCollector() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimitBytes)
+	}
+}
