Pass a first try enough for its need to be learned

Change: half is passed only where it is no less than the need with its margin. The new test fails before with 1 instead of 2.

--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -181,13 +181,15 @@
 }
 
 // firstShare is what the next try is passed: half of what is left if the call may
-// be sent again and half is known to suffice, as a lost answer takes all that its
-// try was passed; all of it otherwise.
+// be sent again and half is what its operation would be passed anyhow, as a lost
+// answer takes all that its try was passed; all of it otherwise. Less than the
+// known need with its margin would keep the need from being learned.
 func (d *dispatcher) firstShare(t *trial) int {
+	c := &t.request.Call
 	left := t.pot.Left()
-	need, known := d.attempts.need(t.request.Call.Service, t.request.Call.Operation)
 	half := (left + 1) / 2
-	if t.op.Repeatable && known && need <= half {
+	_, known := d.attempts.need(c.Service, c.Operation)
+	if t.op.Repeatable && known && d.attempts.share(c.Service, c.Operation, left) <= half {
 		return half
 	}
 	return left
--- a/agent/hedge_test.go
+++ b/agent/hedge_test.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumford/gypsumford/agent/exchange"
 	"github.com/gypsumford/gypsumford/attempt"
 	"github.com/gypsumford/gypsumford/call"
+	"github.com/gypsumford/gypsumford/inventory"
 )
 
 func TestHedgeWaitsForTheBetterAnswer(t *testing.T) {
@@ -47,3 +48,18 @@
 		So(reply, ShouldEqual, whole)
 	})
 }
+
+func TestFirstTryLeavesRoomToLearn(t *testing.T) {
+	Convey("A try is passed the known need with its margin, so that a need which is too low grows", t, func() {
+		attempts := newAttemptTable()
+		attempts.needs.Observe("stock", "count", 1)
+		d := &dispatcher{attempts: attempts}
+		request := &exchange.Request{Call: call.Call{Service: "stock", Operation: "count"}}
+		share := func(grant int) int {
+			return d.firstShare(&trial{request: request, op: &inventory.Operation{Repeatable: true}, pot: attempt.NewPot(grant)})
+		}
+		So(share(2), ShouldEqual, 2)
+		So(share(4), ShouldEqual, 2)
+		So(share(16), ShouldEqual, 8)
+	})
+}
