Carry logical time with gossip

Cause: only calls and answers carried it, so on a merged time line a node could learn of a draining target before that target drained. Change: each datagram begins with its sender's logical time, 8 bytes; the packet's codec is untouched. The new test fails when the receiver doesn't take it ('not reached').

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -126,7 +126,7 @@
 		metrics: a.metrics, announce: a.announce,
 	}
 	a.members = &members{
-		now: a.now, socket: socket, http: a.controlHTTP, metrics: a.metrics,
+		now: a.now, socket: socket, http: a.controlHTTP, metrics: a.metrics, ring: a.ring,
 		announce: a.announce, changed: a.membersChanged, started: a.started,
 	}
 	a.members.mu.table = membership.NewTable(membership.Config{}, a.self, a.now(), randomSeed())
--- a/agent/members.go
+++ b/agent/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +19,8 @@
 )
 
 const (
+	// lamportBytes is the length of the logical time before each packet.
+	lamportBytes = 8
 	// maxPacketBytes is the size of the largest packet that a node reads.
 	maxPacketBytes = 64 << 10
 	// freshFor is how long one tick's word that the table is fresh holds: a node
@@ -34,6 +37,7 @@
 	socket   net.PacketConn
 	http     *http.Client
 	metrics  *metrics.Set
+	ring     *ringTable
 	announce func(bus.Announcement)
 	// changed is called, without any lock, after services changed.
 	changed func(services []string)
@@ -66,9 +70,11 @@
 			m.metrics.BadInput.Add("member-address", 1)
 			continue
 		}
+		datagram := binary.BigEndian.AppendUint64(nil, m.ring.lamport())
+		datagram = append(datagram, message.Data...)
 		m.metrics.Packets.Add("sent", 1)
-		m.metrics.Packets.Add("sent-bytes", int64(len(message.Data)))
-		_, _ = m.socket.WriteTo(message.Data, address) // a lost packet is one that the protocol expects
+		m.metrics.Packets.Add("sent-bytes", int64(len(datagram)))
+		_, _ = m.socket.WriteTo(datagram, address) // a lost packet is one that the protocol expects
 	}
 }
 
@@ -124,9 +130,16 @@
 	}
 }
 
+// receive takes one datagram: the sender's logical time, then its packet.
 func (m *members) receive(from string, data []byte) {
 	m.metrics.Packets.Add("received", 1)
 	m.metrics.Packets.Add("received-bytes", int64(len(data)))
+	if len(data) < lamportBytes {
+		m.metrics.BadInput.Add("packet", 1)
+		return
+	}
+	m.ring.observe(binary.BigEndian.Uint64(data))
+	data = data[lamportBytes:]
 	m.locked(func(t *membership.Table) []membership.Message {
 		messages, err := t.Receive(m.now(), from, data)
 		if err != nil {
--- a/agent/promises_test.go
+++ b/agent/promises_test.go
@@ -190,6 +190,20 @@
 	})
 }
 
+func TestGossipCarriesLogicalTime(t *testing.T) {
+	shop, stock, _ := startShop(t)
+	Convey("What a node learns by gossip comes after what its sender recorded before", t, func() {
+		for range 200 {
+			shop.agent.ring.record(timeline.Event{Kind: timeline.NodeStarted})
+		}
+		before := shop.agent.ring.lamport()
+		until(t, "the other node's logical time passes the sender's", func() (bool, any) {
+			after := stock.agent.ring.lamport()
+			return after >= before, after
+		})
+	})
+}
+
 // completedAt returns the logical time at which the node's target completed a
 // call of the request, 0 if it did not.
 func completedAt(n *testNode, request call.RequestID) uint64 {
