Ask once whether half of a grant suffices

Cause, from reading: the path of each call took the lock of the learned needs twice to decide one thing, also for operations that are never repeated. Change: one question under one lock, asked only for those that may be repeated; the same answers, TestFirstTryLeavesRoomToLearn unchanged.

--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -185,11 +185,9 @@
 // answer takes all that its try was passed; all of it otherwise. Less than the
 // known need with its margin would keep the need from being learned.
 func (d *dispatcher) firstShare(t *trial) int {
-	c := &t.request.Call
 	left := t.pot.Left()
 	half := (left + 1) / 2
-	_, known := d.attempts.need(c.Service, c.Operation)
-	if t.op.Repeatable && known && d.attempts.share(c.Service, c.Operation, left) <= half {
+	if t.op.Repeatable && d.attempts.suffices(&t.request.Call, half) {
 		return half
 	}
 	return left
--- a/agent/tables.go
+++ b/agent/tables.go
@@ -185,6 +185,17 @@
 	return t.needs.Need(service, operation)
 }
 
+// suffices reports whether the call's operation is known and needs, with its
+// margin, no more than the attempts given.
+func (t *attemptTable) suffices(c *call.Call, attempts int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.needs.Need(c.Service, c.Operation); !known {
+		return false
+	}
+	return t.needs.Share(c.Service, c.Operation, attempts+1) <= attempts
+}
+
 // completed notes a completed call and the attempts that it took.
 func (t *attemptTable) completed(now time.Time, c *call.Call, spent, percent int) {
 	t.mu.Lock()
