--- /dev/null
+++ b/balance/table.go
@@ -0,0 +1,236 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/gypsumford/gypsumford/roster"
+)
+
+const (
+	paceGain    = 0.15 // weight of one answer in a target's pace
+	meanGain    = 0.05 // weight of one answer in a route's mean time
+	failureGain = 0.15 // weight of one answer in a target's share of failures
+	minRatio    = 0.1  // bounds of one answer's part in the pace, so that
+	maxRatio    = 8.0  // stragglers don't decide alone
+
+	remoteFactor   = 2.0 // how much better a target in another failure domain must be
+	failurePenalty = 8.0 // score of a target that always fails, over that of a sound one
+	coldFactor     = 2.0 // expected slowness of a target that has just started
+
+	freeShare    = 0.6 // share of slots in use from which answers slow down
+	fillingSlope = 1.5 // slowdown per slot share beyond freeShare
+	queueSlope   = 4.0 // slowdown per slot share beyond all slots
+
+	// avoidTime is how long a target gets no request after one didn't reach it.
+	avoidTime = 400 * time.Millisecond
+	// maxAvoidTime bounds the avoidance of a target that stays unreachable.
+	maxAvoidTime = 3 * time.Second
+	// loadAge is how long a stated load counts.
+	loadAge = 1 * time.Second
+	// recoveryTime is the time in which a target's bad marks fade by two thirds
+	// while nothing is sent there.
+	recoveryTime = 4 * time.Second
+)
+
+// Load is how full a target said it was.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Choice is the target that was chosen and what decided it, for the log.
+type Choice struct {
+	Record     *roster.Record
+	Score      float64
+	Candidates int
+	LoadAge    time.Duration // of the load that was used, 0 if none
+}
+
+// Table holds what the node has seen of targets.
+type Table struct {
+	domain  string
+	targets map[string]*target // by id of the target
+	means   map[string]float64 // seconds that requests of a route take, by name
+}
+
+type target struct {
+	inFlight   int
+	pace       float64 // time taken over the mean of the route
+	failures   float64 // share of requests that fail at the target
+	load       Load
+	loadAt     time.Time
+	seen       time.Time
+	avoidUntil time.Time
+	avoid      time.Duration
+	coldUntil  time.Time
+	coldKnown  bool
+}
+
+// NewTable returns a table for a node in the failure domain.
+func NewTable(domain string) *Table {
+	return &Table{domain: domain, targets: map[string]*target{}, means: map[string]float64{}}
+}
+
+func (t *Table) target(id string) *target {
+	known := t.targets[id]
+	if known == nil {
+		known = &target{pace: 1}
+		t.targets[id] = known
+	}
+	return known
+}
+
+// Choose picks the best of the candidates that is not excluded. It returns false
+// if none is left.
+func (t *Table) Choose(now time.Time, candidates []*roster.Record, excluded []string) (Choice, bool) {
+	best := Choice{Candidates: len(candidates)}
+	for _, r := range candidates {
+		if contains(excluded, r.Target.ID) {
+			continue
+		}
+		known := t.target(r.Target.ID)
+		if !known.coldKnown {
+			known.coldKnown = true
+			known.coldUntil = now.Add(r.Target.ColdLeft)
+		}
+		if score := t.score(now, known, r); best.Record == nil || score < best.Score {
+			best.Record, best.Score = r, score
+			best.LoadAge = now.Sub(known.loadAt)
+		}
+	}
+	return best, best.Record != nil
+}
+
+const unreachableScore = 1e6
+
+func (t *Table) score(now time.Time, known *target, r *roster.Record) float64 {
+	fade := 1.0
+	if quiet := now.Sub(known.seen); quiet > 0 && known.inFlight == 0 {
+		fade = 1 / (1 + 2*quiet.Seconds()/recoveryTime.Seconds())
+	}
+	pace := 1 + (known.pace-1)*fade
+	score := pace * fullness(now, known, r.Target.Slots)
+	score *= 1 + (failurePenalty-1)*known.failures*fade
+	if now.Before(known.coldUntil) {
+		score *= coldFactor
+	}
+	if r.Domain != t.domain {
+		score *= remoteFactor
+	}
+	if now.Before(known.avoidUntil) {
+		score += unreachableScore
+	}
+	return score
+}
+
+// fullness is the factor by which a target is expected to be slower than an
+// empty one.
+func fullness(now time.Time, known *target, slots int) float64 {
+	depth := known.inFlight
+	if now.Sub(known.loadAt) < loadAge {
+		depth = max(depth, known.load.Running+known.load.Waiting)
+		if known.load.Slots > 0 {
+			slots = known.load.Slots
+		}
+	}
+	if slots <= 0 {
+		slots = 1
+	}
+	used := float64(depth+1) / float64(slots)
+	return 1 + fillingSlope*max(used-freeShare, 0) + queueSlope*max(used-1, 0)
+}
+
+// Sent notes that a request is on its way.
+func (t *Table) Sent(now time.Time, id string) {
+	known := t.target(id)
+	known.inFlight++
+	known.seen = now
+}
+
+// Answered notes the end of a request that the target answered.
+func (t *Table) Answered(now time.Time, id, route string, took time.Duration, load Load, failed bool) {
+	known := t.target(id)
+	t.ended(now, known, load)
+	known.avoid = 0
+	known.avoidUntil = time.Time{}
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	known.failures += failureGain * (outcome - known.failures)
+	if failed {
+		return
+	}
+	mean, ok := t.means[route]
+	if !ok || mean <= 0 {
+		mean = took.Seconds()
+	}
+	if mean > 0 {
+		ratio := min(max(took.Seconds()/mean, minRatio), maxRatio)
+		known.pace += paceGain * (ratio - known.pace)
+	}
+	t.means[route] = mean + meanGain*(took.Seconds()-mean)
+}
+
+// Refused notes that the target turned a request away.
+func (t *Table) Refused(now time.Time, id string, load Load) {
+	t.ended(now, t.target(id), load)
+}
+
+// Lost notes that a request got no answer, or didn't reach the target at all.
+func (t *Table) Lost(now time.Time, id string, reached bool) {
+	known := t.target(id)
+	t.ended(now, known, Load{})
+	if reached {
+		known.failures += failureGain * (1 - known.failures)
+		return
+	}
+	known.avoid = min(max(2*known.avoid, avoidTime), maxAvoidTime)
+	known.avoidUntil = now.Add(known.avoid)
+}
+
+// Cancelled notes that the caller gave up on a request.
+func (t *Table) Cancelled(now time.Time, id string) { t.ended(now, t.target(id), Load{}) }
+
+func (t *Table) ended(now time.Time, known *target, load Load) {
+	known.inFlight = max(known.inFlight-1, 0)
+	known.seen = now
+	if load.Slots > 0 {
+		known.load, known.loadAt = load, now
+	}
+}
+
+// Keep forgets the targets that are not listed and have no request under way.
+func (t *Table) Keep(ids map[string]bool) {
+	for id, known := range t.targets {
+		if !ids[id] && known.inFlight == 0 {
+			delete(t.targets, id)
+		}
+	}
+}
+
+// Fill returns the share of slots in use that the targets stated, averaged over
+// those with a load not older than loadAge, and whether there is any.
+func (t *Table) Fill(now time.Time, candidates []*roster.Record) (float64, bool) {
+	used, slots := 0, 0
+	for _, r := range candidates {
+		known := t.targets[r.Target.ID]
+		if known == nil || known.load.Slots == 0 || now.Sub(known.loadAt) > loadAge {
+			continue
+		}
+		used += known.load.Running + known.load.Waiting
+		slots += known.load.Slots
+	}
+	if slots == 0 {
+		return 0, false
+	}
+	return float64(used) / float64(slots), true
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -23,7 +23,12 @@
 // Nodes that carry many large bodies want a higher one, see GOMEMLIMIT.
 const memoryLimitBytes = 64 << 20
 
-func main() { os.Exit(run()) }
+func main() {
+	if len(os.Args) == 2 && os.Args[1] == sidecarCommand {
+		os.Exit(runSidecar())
+	}
+	os.Exit(run())
+}
 
 func run() int {
 	set := settings.New("gypsumd", os.Getenv)
--- /dev/null
+++ b/node/delivery.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/limiter"
+	"github.com/gypsumford/gypsumford/node/egress"
+	"github.com/gypsumford/gypsumford/node/ingress"
+	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/roster"
+)
+
+const (
+	// fenceShare of the drain time passes until calls for a target that leaves
+	// are turned away: peers send elsewhere long before.
+	fenceShare = 0.5
+	// leaveDelay is how long a node that stops still takes calls of peers that
+	// haven't heard of it.
+	leaveDelay = 700 * time.Millisecond
+	// expireInterval paces the closing of idle connections to the target.
+	expireInterval = 1 * time.Second
+)
+
+// delivery hands calls to the target beside the node.
+type delivery struct {
+	settings *Settings
+	now      func() time.Time
+	pool     *egress.Pool
+	sender   *egress.Sender
+	observe  func(route string, began bool, took time.Duration)
+	views    func(route string) []link.ServiceView
+
+	mu struct {
+		sync.Mutex
+		own     *roster.Own
+		limiter *limiter.Limiter
+		waiting map[*limiter.Item]chan struct{}
+		leaving time.Time // when the node began to stop
+	}
+}
+
+func newDelivery(s *Settings, dialect egress.Dialect, now func() time.Time) *delivery {
+	pool := egress.NewPool(s.TargetAddress, now)
+	d := &delivery{settings: s, now: now, pool: pool, sender: egress.NewSender(pool, dialect)}
+	d.mu.own = roster.NewOwn(s.HeartbeatInterval)
+	d.mu.limiter = limiter.New(0)
+	d.mu.waiting = map[*limiter.Item]chan struct{}{}
+	return d
+}
+
+// beat takes in a heartbeat and reports whether peers must hear of it.
+func (d *delivery) beat(t roster.Target) bool {
+	d.mu.Lock()
+	before, _ := d.mu.own.Target()
+	changed := d.mu.own.Beat(d.now(), t)
+	after, _ := d.mu.own.Target()
+	d.mu.limiter.SetSlots(after.Slots)
+	d.wake()
+	d.mu.Unlock()
+	if before.ID != after.ID || before.Born != after.Born {
+		d.pool.Reset()
+	}
+	return changed
+}
+
+func (d *delivery) leave(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mu.own.Leave(d.now(), id)
+}
+
+func (d *delivery) expire() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mu.own.Expire(d.now())
+}
+
+// stop makes the node turn calls away soon.
+func (d *delivery) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mu.leaving = d.now()
+}
+
+func (d *delivery) target() roster.Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, _ := d.mu.own.Target()
+	return t
+}
+
+// active returns the number of calls that run or wait.
+func (d *delivery) active() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mu.limiter.Running() + d.mu.limiter.Waiting()
+}
+
+// serve runs a call on the target. The time left counts from now.
+func (d *delivery) serve(ctx context.Context, c *link.Call) *link.Reply {
+	deadline := d.now().Add(c.TimeLeft)
+	item := &limiter.Item{Priority: c.Priority, Deadline: deadline}
+	if refusal := d.enter(ctx, c, item); refusal != nil {
+		return d.finish(refusal, c)
+	}
+	started := d.now()
+	d.observe(c.Route, true, 0)
+	reply := d.send(ctx, c, deadline)
+	reply.Duration = d.now().Sub(started)
+	d.observe(c.Route, false, reply.Duration)
+	d.mu.Lock()
+	d.mu.limiter.Done(reply.Duration)
+	d.wake()
+	d.mu.Unlock()
+	return d.finish(reply, c)
+}
+
+func (d *delivery) finish(reply *link.Reply, c *link.Call) *link.Reply {
+	reply.Load = d.load()
+	reply.Views = d.views(c.Route)
+	return reply
+}
+
+func (d *delivery) load() link.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return link.Load{Running: d.mu.limiter.Running(), Waiting: d.mu.limiter.Waiting(), Slots: min(d.mu.limiter.Limit(), maxSlots)}
+}
+
+// maxSlots stands for a target without a stated number of slots.
+const maxSlots = 1 << 16
+
+// enter waits for a slot. It returns a refusal if the call must not run.
+func (d *delivery) enter(ctx context.Context, c *link.Call, item *limiter.Item) *link.Reply {
+	d.mu.Lock()
+	if reason := d.turnedAway(c); reason != link.ReasonNone {
+		d.mu.Unlock()
+		return notRun(reason)
+	}
+	verdict := d.mu.limiter.Arrive(d.now(), item)
+	var turn chan struct{}
+	if verdict == limiter.Wait {
+		turn = make(chan struct{})
+		d.mu.waiting[item] = turn
+	}
+	d.mu.Unlock()
+	switch verdict {
+	case limiter.Refuse:
+		return notRun(link.ReasonBusy)
+	case limiter.Wait:
+		return d.wait(ctx, c, item, turn)
+	}
+	return nil
+}
+
+func (d *delivery) wait(ctx context.Context, c *link.Call, item *limiter.Item, turn chan struct{}) *link.Reply {
+	timer := time.NewTimer(item.Deadline.Sub(d.now()))
+	defer timer.Stop()
+	reason := link.ReasonNone
+	select {
+	case <-turn:
+	case <-timer.C:
+		reason = link.ReasonTooLate
+	case <-ctx.Done():
+		reason = link.ReasonCancelled
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.mu.waiting, item)
+	hasTurn := !d.mu.limiter.Leave(item)
+	if reason == link.ReasonNone {
+		reason = d.turnedAway(c)
+	}
+	if reason == link.ReasonNone {
+		return nil
+	}
+	if hasTurn {
+		d.mu.limiter.Cancel()
+		d.wake()
+	}
+	return notRun(reason)
+}
+
+// turnedAway tells why the target can't take the call, if it can't. The lock is
+// held.
+func (d *delivery) turnedAway(c *link.Call) link.Reason {
+	target, drained := d.mu.own.Target()
+	now := d.now()
+	fence := time.Duration(fenceShare * float64(d.settings.DrainTime))
+	switch {
+	case target.ID != c.Target || target.Service != c.Service:
+		return link.ReasonTargetChanged
+	case !drained.IsZero() && now.Sub(drained) > fence:
+		return link.ReasonDraining
+	case drained.IsZero() && target.State != roster.Ready:
+		return link.ReasonTargetChanged
+	case !d.mu.leaving.IsZero() && now.Sub(d.mu.leaving) > leaveDelay:
+		return link.ReasonDraining
+	}
+	return link.ReasonNone
+}
+
+// wake lets waiting calls run. The lock is held.
+func (d *delivery) wake() {
+	for item := d.mu.limiter.Next(); item != nil; item = d.mu.limiter.Next() {
+		close(d.mu.waiting[item])
+	}
+}
+
+func (d *delivery) send(ctx context.Context, c *link.Call, deadline time.Time) *link.Reply {
+	left := deadline.Sub(d.now())
+	if left <= 0 {
+		return notRun(link.ReasonTooLate)
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	response, err := d.sender.Send(ctx, &egress.Request{
+		ID: c.RequestID, Target: c.Target, Method: c.Method, URI: c.URI, Host: c.Host,
+		Header: c.Header, Body: c.Body, TimeLeft: left, Caller: c.Caller,
+	})
+	switch {
+	case err == nil:
+		return &link.Reply{
+			Outcome: link.Answered, Arrived: true, Status: response.Status, Signed: response.Answer.Signed,
+			Header: ingress.AnswerFields(response.Header), Body: response.Body,
+		}
+	case errors.Is(err, egress.ErrUnreachable):
+		return notRun(link.ReasonUnreachable)
+	case errors.Is(err, egress.ErrNotRun):
+		reply := notRun(link.ReasonRefused)
+		reply.Arrived = true
+		return reply
+	case ctx.Err() != nil:
+		return &link.Reply{Outcome: link.Unknown, Reason: link.ReasonCancelled, Arrived: true}
+	}
+	return &link.Reply{Outcome: link.Unknown, Reason: link.ReasonBroken, Arrived: true}
+}
+
+func notRun(reason link.Reason) *link.Reply {
+	return &link.Reply{Outcome: link.NotRun, Reason: reason}
+}
--- /dev/null
+++ b/node/dispatcher.go
@@ -0,0 +1,262 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/balance"
+	"github.com/gypsumford/gypsumford/node/ingress"
+	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/retrybudget"
+	"github.com/gypsumford/gypsumford/route"
+)
+
+const (
+	// defaultTimeout bounds a request that states no deadline on a route that
+	// states no timeout.
+	defaultTimeout = 30 * time.Second
+	// startingRetryAfter is told by a node that has no configuration yet.
+	startingRetryAfter = 300 * time.Millisecond
+	// busyRetryAfter is told when no target can take a request.
+	busyRetryAfter = 400 * time.Millisecond
+	// maxSends bounds how often one request is sent, turned away or not.
+	maxSends = 4
+	// minTimeLeft is the least time with which a request is sent.
+	minTimeLeft = 10 * time.Millisecond
+)
+
+// dispatcher sends a caller's request to targets until it has an end.
+type dispatcher struct {
+	settings *Settings
+	now      func() time.Time
+	tables   *tables
+	delivery *delivery
+	links    *link.Pool
+	log      decisionLog
+}
+
+// request is one caller's request on its way.
+type request struct {
+	*ingress.Request
+	configuration *route.Configuration
+	route         *route.Route
+	service       string
+	deadline      time.Time
+	fromTarget    bool
+	sends         int      // to nodes
+	arrivals      int      // at targets
+	excluded      []string // targets that were tried
+	last          link.Reason
+	lastReply     *link.Reply // an answer that is kept while another target is tried
+}
+
+// Handle serves one request of a caller.
+func (d *dispatcher) Handle(ctx context.Context, in *ingress.Request) *ingress.Answer {
+	r := &request{Request: in, configuration: d.tables.inForce.Load()}
+	if r.configuration == nil {
+		return d.end(r, refusal(startingRetryAfter), "no-configuration")
+	}
+	r.route = r.configuration.Match(in.Host, in.Path)
+	if r.route == nil || len(r.route.Destinations) == 0 {
+		return d.end(r, &ingress.Answer{Status: http.StatusNotFound, Own: true}, "no-route")
+	}
+	r.fromTarget = ingress.SameHost(in.Remote, d.settings.TargetAddress)
+	r.deadline = deadlineOf(in, r.route)
+	if answer := d.admit(r); answer != nil {
+		return answer
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	return d.run(ctx, r)
+}
+
+func deadlineOf(in *ingress.Request, on *route.Route) time.Time {
+	left := defaultTimeout
+	if on.Timeout > 0 {
+		left = on.Timeout
+	}
+	if in.HasTimeLeft {
+		left = min(left, in.TimeLeft)
+	}
+	return in.Arrived.Add(left)
+}
+
+// admit picks the service and refuses the request if it must not be let in.
+func (d *dispatcher) admit(r *request) *ingress.Answer {
+	now := d.now()
+	t := d.tables
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.service = t.mu.splitter.Next(r.route)
+	if r.fromTarget {
+		t.mu.graph.Called(r.route.Name)
+		return nil // its parent runs already; a refusal would waste that work
+	}
+	t.mu.retries.Request(now, r.service)
+	verdict := t.mu.shed.Admit(now, r.route.Priority, t.charges(r.route.Name))
+	if verdict.Admit {
+		return nil
+	}
+	d.log.shed(r, &verdict)
+	return refusal(retryAfter(verdict.RetryAfter, r.deadline.Sub(now)))
+}
+
+func refusal(retryAfter time.Duration) *ingress.Answer {
+	return &ingress.Answer{Status: http.StatusServiceUnavailable, Own: true, RetryAfter: retryAfter}
+}
+
+// run sends the request until it has an end.
+func (d *dispatcher) run(ctx context.Context, r *request) *ingress.Answer {
+	for {
+		choice, ok := d.choose(r)
+		if !ok {
+			return d.giveUp(ctx, r, "no-target")
+		}
+		reply := d.sendTo(ctx, r, choice)
+		if answer := d.judge(ctx, r, choice, reply); answer != nil {
+			return answer
+		}
+		if ctx.Err() != nil {
+			return d.giveUp(ctx, r, "ended")
+		}
+	}
+}
+
+func (d *dispatcher) choose(r *request) (balance.Choice, bool) {
+	now := d.now()
+	if r.sends >= maxSends || r.deadline.Sub(now) < minTimeLeft {
+		return balance.Choice{}, false
+	}
+	t := d.tables
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates := t.mu.roster.Serving(r.service)
+	choice, ok := t.mu.balance.Choose(now, candidates, r.excluded)
+	if !ok {
+		return choice, false
+	}
+	if r.arrivals > 0 && !t.mu.retries.Repeat(now, max(len(t.mu.roster.All()), 1), d.repeatCharges(r)) {
+		return choice, false
+	}
+	t.mu.balance.Sent(now, choice.Record.Target.ID)
+	return choice, true
+}
+
+// repeatCharges is what one more send of the request costs. The lock is held.
+func (d *dispatcher) repeatCharges(r *request) []retrybudget.Charge {
+	return []retrybudget.Charge{{Service: r.service, Count: 1}}
+}
+
+func (d *dispatcher) sendTo(ctx context.Context, r *request, choice balance.Choice) *link.Reply {
+	record := choice.Record
+	call := &link.Call{
+		RequestID: r.RequestID, Target: record.Target.ID, Service: r.service, Route: r.route.Name,
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
+		TimeLeft: r.deadline.Sub(d.now()), Caller: d.settings.Service, Priority: r.route.Priority,
+		Idempotent: r.route.Idempotent, Repeat: r.arrivals > 0,
+	}
+	r.sends++
+	r.excluded = append(r.excluded, record.Target.ID)
+	if record.Instance == d.settings.Name {
+		return d.delivery.serve(ctx, call)
+	}
+	reply, err := d.links.Do(ctx, record.Address, call)
+	switch {
+	case err == nil:
+		return reply
+	case errors.Is(err, link.ErrNotSent):
+		return notRun(link.ReasonUnreachable)
+	case ctx.Err() != nil:
+		return &link.Reply{Outcome: link.Unknown, Reason: link.ReasonCancelled, Arrived: true}
+	}
+	return &link.Reply{Outcome: link.Unknown, Reason: link.ReasonBroken, Arrived: true}
+}
+
+// judge takes in a reply. It returns the answer to the caller, or nil if the
+// request is to be sent once more.
+func (d *dispatcher) judge(ctx context.Context, r *request, choice balance.Choice, reply *link.Reply) *ingress.Answer {
+	d.note(r, choice, reply)
+	r.last = reply.Reason
+	if reply.Arrived {
+		r.arrivals++
+	}
+	mayRepeat := r.arrivals < r.route.MaxAttempts && ctx.Err() == nil
+	switch reply.Outcome {
+	case link.Answered:
+		if reply.Status < http.StatusInternalServerError || !r.route.Idempotent || !mayRepeat {
+			return d.end(r, answerOf(reply), "answered")
+		}
+		r.lastReply = reply
+	case link.Unknown:
+		if !r.route.Idempotent || !mayRepeat {
+			return d.giveUp(ctx, r, "unknown")
+		}
+	case link.NotRun:
+		if !mayRepeat {
+			return d.giveUp(ctx, r, "refused")
+		}
+	}
+	return nil
+}
+
+// note lets the tables learn from a reply.
+func (d *dispatcher) note(r *request, choice balance.Choice, reply *link.Reply) {
+	now := d.now()
+	id := choice.Record.Target.ID
+	load := balance.Load{Running: reply.Load.Running, Waiting: reply.Load.Waiting, Slots: reply.Load.Slots}
+	t := d.tables
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.learn(now, r.route.Name, r.fromTarget, reply)
+	switch {
+	case reply.Outcome == link.Answered:
+		failed := reply.Status >= http.StatusInternalServerError
+		t.mu.balance.Answered(now, id, r.route.Name, reply.Duration, load, failed)
+	case reply.Reason == link.ReasonCancelled:
+		t.mu.balance.Cancelled(now, id)
+	case reply.Reason == link.ReasonUnreachable || reply.Reason == link.ReasonTargetChanged:
+		t.mu.balance.Lost(now, id, false)
+	case reply.Reason == link.ReasonBroken:
+		t.mu.balance.Lost(now, id, true)
+	default:
+		t.mu.balance.Refused(now, id, load)
+	}
+}
+
+func answerOf(reply *link.Reply) *ingress.Answer {
+	return &ingress.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}
+}
+
+// giveUp returns the node's own answer, or an earlier one of a target.
+func (d *dispatcher) giveUp(ctx context.Context, r *request, why string) *ingress.Answer {
+	late := !d.now().Before(r.deadline)
+	switch {
+	case ctx.Err() != nil && !late:
+		return d.end(r, nil, "caller-left")
+	case r.lastReply != nil:
+		return d.end(r, answerOf(r.lastReply), why)
+	case r.arrivals == 0 || r.last == link.ReasonRefused && !r.route.Idempotent:
+		return d.end(r, refusal(retryAfter(busyRetryAfter, r.deadline.Sub(d.now()))), why)
+	case late:
+		return d.end(r, &ingress.Answer{Status: http.StatusGatewayTimeout, Own: true}, why)
+	}
+	return d.end(r, &ingress.Answer{Status: http.StatusBadGateway, Own: true}, why)
+}
+
+func (d *dispatcher) end(r *request, answer *ingress.Answer, why string) *ingress.Answer {
+	d.log.ended(r, answer, why)
+	return answer
+}
+
+// retryAfter bounds the time to come back: the caller must be able to use it.
+func retryAfter(wait, left time.Duration) time.Duration {
+	const (
+		shortest = 50 * time.Millisecond
+		// share of the time left that callers are ready to wait
+		share = 0.3
+	)
+	return max(min(wait, time.Duration(share*float64(left))), shortest)
+}
--- /dev/null
+++ b/node/link/frame.go
@@ -0,0 +1,137 @@
+package link
+
+import (
+	"time"
+
+	"github.com/gypsumford/gypsumford/roster"
+	"github.com/gypsumford/gypsumford/route"
+)
+
+// Call is one request on its way to the node beside the chosen target.
+type Call struct {
+	RequestID  string
+	Target     string // id of the target that is meant; no other may run it
+	Service    string
+	Route      string // name of the route, for what the peer learns
+	Method     string
+	URI        string // path and query as the caller sent them
+	Host       string
+	Header     []string // names and values by turns
+	Body       []byte
+	TimeLeft   time.Duration
+	Caller     string // service of the target where the request began
+	Priority   int
+	Idempotent bool
+	Repeat     bool // this request was sent to a target before
+}
+
+// Outcome tells what became of a call.
+type Outcome uint8
+
+const (
+	// Answered: the reply holds the target's whole answer.
+	Answered Outcome = iota + 1
+	// NotRun: the target has not begun to work on the call and never will.
+	NotRun
+	// Unknown: the target may have run the call, its answer is lost.
+	Unknown
+)
+
+var outcomeNames = [...]string{"none", "answered", "not-run", "unknown"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "invalid"
+}
+
+// Reason tells why a call has no answer.
+type Reason uint8
+
+const (
+	// ReasonNone: the call was answered.
+	ReasonNone Reason = iota
+	// ReasonTargetChanged: the target that was meant is not beside this node.
+	ReasonTargetChanged
+	// ReasonDraining: the target or the node leaves.
+	ReasonDraining
+	// ReasonBusy: the target is full.
+	ReasonBusy
+	// ReasonTooLate: the time left didn't suffice.
+	ReasonTooLate
+	// ReasonUnreachable: no connection to the target or the peer.
+	ReasonUnreachable
+	// ReasonBroken: the connection or the answer broke off.
+	ReasonBroken
+	// ReasonCancelled: the caller left or its time was over.
+	ReasonCancelled
+	// ReasonRefused: the target turned the call away.
+	ReasonRefused
+)
+
+var reasonNames = [...]string{
+	"none", "target-changed", "draining", "busy", "too-late", "unreachable", "broken", "cancelled", "refused",
+}
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "invalid"
+}
+
+// ServiceView is what the replying node knows of a service that the call's route
+// leads to.
+type ServiceView struct {
+	Service  string
+	Cost     time.Duration // time of its targets that one request of the route takes
+	Pressure uint8         // see package loadshed
+}
+
+// Reply is the end of a call.
+type Reply struct {
+	Outcome  Outcome
+	Reason   Reason
+	Arrived  bool // the call reached the target
+	Signed   bool // the answer is the target's own
+	Status   int
+	Header   []string // names and values by turns
+	Body     []byte
+	Load     Load
+	Views    []ServiceView
+	Duration time.Duration // from the send to the target to its answer
+}
+
+// Load is how full a target is.
+type Load struct {
+	Running int // at the target, by its node's count
+	Waiting int // in the queue of its node and its own
+	Slots   int
+}
+
+// Hello opens a connection: who calls, and what it states of itself.
+type Hello struct{ Record roster.Record }
+
+// State is what a node hands to a peer that asks for it.
+type State struct {
+	Configuration *route.Configuration // nil if the node has none
+	Records       []roster.Record
+}
+
+// frame is one message on the connection. One of its fields is set, besides ID
+// and Version.
+type frame struct {
+	ID      uint64
+	Version route.Version // of the sender's configuration
+	Call    *Call
+	Reply   *Reply
+	Cancel  bool
+	Ping    bool
+	Pong    bool
+	Hello   *Hello
+	Pull    bool
+	State   *State
+}
--- /dev/null
+++ b/node/log.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"github.com/go-logr/logr"
+
+	"github.com/gypsumford/gypsumford/loadshed"
+	"github.com/gypsumford/gypsumford/node/ingress"
+	"github.com/gypsumford/gypsumford/roster"
+)
+
+// decisionLog writes one line for each decision on a request or a belief.
+type decisionLog struct{ logr.Logger }
+
+// ended logs the end of a request.
+func (l decisionLog) ended(r *request, a *ingress.Answer, why string) {
+	if a != nil && !a.Own && a.Status < 500 && r.sends == 1 {
+		return // the plain case is counted, not logged
+	}
+	status := 0
+	if a != nil {
+		status = a.Status
+	}
+	routeName := ""
+	if r.route != nil {
+		routeName = r.route.Name
+	}
+	l.Info("request ended", "request", r.RequestID, "route", routeName, "service", r.service,
+		"status", status, "own", a == nil || a.Own, "why", why, "last", r.last.String(),
+		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "remote", r.Remote, "child", r.fromTarget)
+}
+
+// shed logs a request that was refused at the entry.
+func (l decisionLog) shed(r *request, v *loadshed.Verdict) {
+	l.Info("request refused", "request", r.RequestID, "route", r.route.Name, "priority", r.route.Priority,
+		"service", v.Service, "pressure", v.Pressure, "allowance", v.Allowance, "retryAfterMs", v.RetryAfter.Milliseconds())
+}
+
+func (l decisionLog) target(r *roster.Record) {
+	l.Info("target changed", "target", r.Target.ID, "service", r.Target.Service, "state", r.Target.State.String(),
+		"born", r.Target.Born, "slots", r.Target.Slots, "sequence", r.Sequence)
+}
+
+func (l decisionLog) record(r *roster.Record, from string) {
+	l.Info("peer changed", "instance", r.Instance, "incarnation", r.Incarnation, "sequence", r.Sequence,
+		"target", r.Target.ID, "state", r.Target.State.String(), "leaving", r.Leaving, "from", from)
+}
+
+func (l decisionLog) dependency(name string, err error) {
+	l.Info("dependency failed", "dependency", name, "error", err.Error())
+}
+
+func (l decisionLog) regained(name string) { l.Info("dependency regained", "dependency", name) }
+
+func (l decisionLog) ignored(what, why string, more ...any) {
+	l.Info("input ignored", append([]any{"input", what, "why", why}, more...)...)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,211 @@
+// Package node is the daemon beside one target: it joins the listeners, the
+// links to peers, the store and the tables that decide.
+//
+// A request goes from ingress to the dispatcher, which asks the tables for a
+// target; over a link to the node beside that target, or straight to the own
+// one; there delivery waits for a slot and sends it with egress.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/gypsumford/gypsumford/loadshed"
+	"github.com/gypsumford/gypsumford/node/egress"
+	"github.com/gypsumford/gypsumford/node/ingress"
+	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/node/store"
+	"github.com/gypsumford/gypsumford/roster"
+	"github.com/gypsumford/gypsumford/route"
+)
+
+const (
+	// instancePause lets records that change together cost one store call.
+	instancePause  = 150 * time.Millisecond
+	publishTimeout = 1 * time.Second
+	minPublishWait = 100 * time.Millisecond
+	maxPublishWait = 1 * time.Second
+	headerTimeout  = 5 * time.Second
+	// callerIdleTimeout is well above any limit that operators set, so that a
+	// connection is not closed while a caller may use it.
+	callerIdleTimeout = 5 * time.Minute
+	ownInterval       = 250 * time.Millisecond
+	// versionDelay is how long a newer version that a peer has may take to come
+	// from the store before the peer is asked for it.
+	versionDelay = 250 * time.Millisecond
+)
+
+// Dialect is all that the node needs to know of the callers' and targets' fields.
+type Dialect interface {
+	ingress.Dialect
+	egress.Dialect
+}
+
+// Directory is where nodes publish what they state of themselves.
+type Directory interface {
+	store.Source[roster.Record]
+	Publish(ctx context.Context, r roster.Record) error
+}
+
+// Platform is everything that the node needs of its surroundings.
+type Platform struct {
+	Dialect        Dialect
+	Configurations store.Source[*route.Configuration]
+	Directory      Directory
+	// Heartbeats and Ready make the handlers of the two listeners.
+	Heartbeats func(n *Node) http.Handler
+	Ready      func(ready func() bool) http.Handler
+}
+
+// Node is one node.
+type Node struct {
+	settings *Settings
+	platform Platform
+	now      func() time.Time
+	log      decisionLog
+
+	tables     *tables
+	delivery   *delivery
+	links      *link.Pool
+	dispatcher *dispatcher
+	ingress    *ingress.Server
+	configs    *store.Follower[*route.Configuration]
+	records    *store.Follower[roster.Record]
+
+	publish  chan struct{}
+	stopping atomic.Bool
+	pulling  atomic.Bool
+	mu       struct {
+		sync.Mutex
+		record roster.Record
+	}
+}
+
+// New returns a node that isn't running.
+func New(s *Settings, p Platform, log logr.Logger) *Node {
+	n := &Node{settings: s, platform: p, now: time.Now, log: decisionLog{log}, publish: make(chan struct{}, 1)}
+	n.tables = newTables(s, rand.Float64())
+	n.delivery = newDelivery(s, p.Dialect, n.now)
+	n.delivery.observe = n.tables.observeRun
+	n.delivery.views = func(routeName string) []link.ServiceView {
+		return n.tables.views(n.now(), routeName, s.Service, n.delivery.load())
+	}
+	n.links = link.NewPool(n, n.now)
+	n.dispatcher = &dispatcher{
+		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log,
+	}
+	n.ingress = ingress.NewServer(p.Dialect, n.dispatcher, n.now)
+	n.mu.record = roster.Record{
+		Instance: s.Name, Incarnation: time.Now().UnixMilli(), Address: s.PeerAddress, Domain: s.Domain,
+	}
+	n.buildFollowers()
+	return n
+}
+
+func (n *Node) buildFollowers() {
+	n.configs = store.NewFollower(n.platform.Configurations)
+	n.configs.Read, n.configs.Changed = n.configurationsHeard, n.configurationsHeard
+	n.configs.Failed = func(err error) { n.log.dependency("store: configuration", err) }
+	n.configs.Regained = func() { n.log.regained("store: configuration") }
+	n.records = store.NewFollower[roster.Record](n.platform.Directory)
+	n.records.Read, n.records.Changed = n.recordsHeard, n.recordsHeard
+	n.records.Failed = func(err error) { n.log.dependency("store: instances", err) }
+	n.records.Regained = func() { n.log.regained("store: instances") }
+	n.records.Pause = instancePause
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.log.Info("node started", "instance", n.settings.Name, "incarnation", n.mu.record.Incarnation)
+	go n.configs.Run(background)
+	go n.records.Run(background)
+	go n.publishLoop(background)
+	go every(background, link.TickInterval, n.links.Tick)
+	go every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
+	go every(background, ownInterval, n.watchTarget)
+	go every(background, expireInterval, n.delivery.pool.Expire)
+	select {
+	case <-ctx.Done():
+	case err := <-servers.failed:
+		return err
+	}
+	n.stopGracefully(servers)
+	return nil
+}
+
+type servers struct {
+	callers *http.Server
+	control []*http.Server
+	peers   net.Listener
+	failed  chan error
+}
+
+func (n *Node) listen() (*servers, error) {
+	s := &servers{failed: make(chan error, 4)}
+	serve := func(address string, handler http.Handler) (*http.Server, error) {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listener at %s", address)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				s.failed <- errors.Wrapf(err, "listener at %s", address)
+			}
+		}()
+		return server, nil
+	}
+	var err error
+	if s.callers, err = serve(n.settings.CallerAddress, n.ingress); err != nil {
+		return nil, err
+	}
+	for address, handler := range map[string]http.Handler{
+		n.settings.ReadyAddress:     n.platform.Ready(n.ready),
+		n.settings.HeartbeatAddress: n.platform.Heartbeats(n),
+	} {
+		server, err := serve(address, handler)
+		if err != nil {
+			return nil, err
+		}
+		s.control = append(s.control, server)
+	}
+	if s.peers, err = net.Listen("tcp", n.settings.PeerAddress); err != nil {
+		return nil, errors.Wrapf(err, "listener at %s", n.settings.PeerAddress)
+	}
+	go func() {
+		if err := n.links.Serve(s.peers); err != nil {
+			s.failed <- err
+		}
+	}()
+	return s, nil
+}
+
+// ready reports whether callers may send requests here.
+func (n *Node) ready() bool { return n.tables.inForce.Load() != nil && !n.stopping.Load() }
+
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/node/store"
+	"github.com/gypsumford/gypsumford/roster"
+	"github.com/gypsumford/gypsumford/route"
+)
+
+// Serve runs a call of a peer.
+func (n *Node) Serve(ctx context.Context, c *link.Call) *link.Reply { return n.delivery.serve(ctx, c) }
+
+// Record returns what the node states of itself.
+func (n *Node) Record() roster.Record {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.mu.record
+}
+
+// Version returns the version of the configuration in force, 0 if there is none.
+func (n *Node) Version() route.Version {
+	if c := n.tables.inForce.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// PeerVersion hears which version a peer has. If it stays newer than the own
+// one, the store is read again and the peer is asked.
+func (n *Node) PeerVersion(v route.Version, pull func()) {
+	if v <= n.Version() || !n.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(versionDelay, func() {
+		n.pulling.Store(false)
+		if v > n.Version() {
+			n.configs.Hurry()
+			pull()
+		}
+	})
+}
+
+// PeerRecord hears what a peer states of itself.
+func (n *Node) PeerRecord(r roster.Record) {
+	if r.Instance != "" {
+		n.offer(r, "peer")
+	}
+}
+
+// State returns what a peer that pulls is handed.
+func (n *Node) State() *link.State {
+	n.tables.mu.Lock()
+	defer n.tables.mu.Unlock()
+	return &link.State{Configuration: n.tables.inForce.Load(), Records: n.tables.mu.roster.All()}
+}
+
+// PeerState hears the answer to a pull.
+func (n *Node) PeerState(s *link.State) {
+	if s.Configuration != nil {
+		s.Configuration.Index()
+		n.accept(s.Configuration, "peer")
+	}
+	for _, r := range s.Records {
+		n.offer(r, "peer")
+	}
+}
+
+func (n *Node) configurationsHeard(changes []store.Change[*route.Configuration]) {
+	for _, change := range changes {
+		if !change.Deleted {
+			n.accept(change.Value, "store")
+		}
+	}
+}
+
+// accept brings a configuration in force unless a newer one is.
+func (n *Node) accept(c *route.Configuration, from string) {
+	for {
+		current := n.tables.inForce.Load()
+		if current != nil && current.Version >= c.Version {
+			return
+		}
+		if n.tables.inForce.CompareAndSwap(current, c) {
+			break
+		}
+	}
+	n.tables.mu.Lock()
+	n.tables.mu.splitter.Keep(c)
+	n.tables.mu.Unlock()
+	n.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "from", from)
+	n.links.AnnounceVersion()
+}
+
+func (n *Node) recordsHeard(changes []store.Change[roster.Record]) {
+	for i := range changes {
+		if changes[i].Deleted {
+			continue // a node that is gone is seen to be by those who send there
+		}
+		n.offer(changes[i].Value, "store")
+	}
+}
+
+// offer takes in a record of any node.
+func (n *Node) offer(r roster.Record, from string) {
+	if from != "own" && r.Instance == n.settings.Name {
+		return
+	}
+	n.tables.mu.Lock()
+	news := n.tables.mu.roster.Offer(r)
+	n.tables.mu.Unlock()
+	if news && from != "own" {
+		n.log.record(&r, from)
+	}
+}
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// leavingTime is how long a node that stops still takes requests of callers:
+	// the platform notices only after two of its questions, a second apart.
+	leavingTime = 2300 * time.Millisecond
+	// graceMargin is kept from the time until the process is killed.
+	graceMargin = 600 * time.Millisecond
+	stopStep    = 20 * time.Millisecond
+	// quietTime is how long no request must be under way before the node stops.
+	quietTime = 300 * time.Millisecond
+)
+
+// stopGracefully lets requests under way complete, as long as there is time.
+func (n *Node) stopGracefully(s *servers) {
+	started := n.now()
+	n.stopping.Store(true)
+	n.log.Info("node stopping", "requests", n.ingress.Active(), "calls", n.delivery.active())
+	n.delivery.stop()
+	n.mu.Lock()
+	n.mu.record.Sequence++
+	n.mu.record.Leaving = true
+	record := n.mu.record
+	n.mu.Unlock()
+	n.announce(record)
+	n.waitIdle(started.Add(leavingTime), started.Add(n.settings.GraceTime-graceMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.settings.GraceTime-graceMargin/2))
+	defer cancel()
+	if err := s.callers.Shutdown(ctx); err != nil {
+		n.log.Info("requests cut off", "requests", n.ingress.Active(), "error", err.Error())
+	}
+	_ = s.peers.Close() // calls of peers are counted in waitIdle
+	for _, server := range s.control {
+		_ = server.Close() // nothing of theirs lasts
+	}
+	n.links.Close()
+	n.log.Info("node stopped", "after", n.now().Sub(started).Seconds())
+}
+
+// waitIdle returns when nothing has been under way for quietTime, not before
+// earliest, or at latest.
+func (n *Node) waitIdle(earliest, latest time.Time) {
+	idle := time.Duration(0)
+	for n.now().Before(latest) {
+		time.Sleep(stopStep)
+		idle += stopStep
+		if n.ingress.Active() > 0 || n.delivery.active() > 0 {
+			idle = 0
+		}
+		if idle >= quietTime && n.now().After(earliest) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node/store/follower.go
@@ -0,0 +1,128 @@
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// waitTime is how long one call waits for changes: the longest that the
+	// store allows.
+	waitTime = 30 * time.Second
+	// answerMargin is how much longer than waitTime an answer may take.
+	answerMargin = 1500 * time.Millisecond
+	readTimeout  = 1 * time.Second
+	minBackoff   = 100 * time.Millisecond
+	maxBackoff   = 1 * time.Second
+)
+
+// Follower keeps up with one source.
+type Follower[T any] struct {
+	Source Source[T]
+	// Read hears the whole state, Changed what has changed since.
+	Read    func([]Change[T])
+	Changed func([]Change[T])
+	// Failed hears of a call that failed and Regained of the first that succeeds
+	// after one.
+	Failed   func(error)
+	Regained func()
+	// Pause between two calls lets changes that come together cost one call.
+	Pause time.Duration
+
+	hurry chan struct{}
+}
+
+// NewFollower returns a follower that isn't running.
+func NewFollower[T any](source Source[T]) *Follower[T] {
+	return &Follower[T]{Source: source, hurry: make(chan struct{}, 1)}
+}
+
+// Hurry makes the follower read the source now rather than wait on: the node has
+// heard that there is something new.
+func (f *Follower[T]) Hurry() {
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the source until the context ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	backoff := minBackoff
+	failing := false
+	for ctx.Err() == nil {
+		revision, err := f.readAll(ctx)
+		for err == nil && ctx.Err() == nil {
+			if failing {
+				failing = false
+				f.Regained()
+			}
+			backoff = minBackoff
+			sleep(ctx, f.Pause)
+			revision, err = f.wait(ctx, revision)
+		}
+		if ctx.Err() != nil || errors.Is(err, errHurried) || errors.Is(err, ErrCompacted) {
+			continue
+		}
+		failing = true
+		f.Failed(err)
+		sleep(ctx, backoff/2+rand.N(backoff)) // spread over the nodes
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (f *Follower[T]) readAll(ctx context.Context) (Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	state, revision, err := f.Source.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.Read(state)
+	return revision, nil
+}
+
+var errHurried = errors.New("told to read now")
+
+func (f *Follower[T]) wait(ctx context.Context, since Revision) (Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, waitTime+answerMargin)
+	defer cancel()
+	hurried := make(chan bool, 1)
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-f.hurry:
+			hurried <- true
+			cancel()
+		case <-done:
+			hurried <- false
+		}
+	}()
+	changes, revision, err := f.Source.Wait(ctx, since, waitTime)
+	close(done)
+	if <-hurried && err != nil {
+		return 0, errHurried
+	}
+	if err != nil {
+		return 0, err
+	}
+	if len(changes) > 0 {
+		f.Changed(changes)
+	}
+	return revision, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/node/tables.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumford/gypsumford/balance"
+	"github.com/gypsumford/gypsumford/callgraph"
+	"github.com/gypsumford/gypsumford/loadshed"
+	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/retrybudget"
+	"github.com/gypsumford/gypsumford/roster"
+	"github.com/gypsumford/gypsumford/route"
+)
+
+// pressureScale is the step of a pressure on the wire.
+const pressureScale = 50
+
+// maxPressure is the highest pressure on the wire.
+const maxPressure = 255
+
+// tables holds what the node decides by. One lock guards them all: each question
+// takes microseconds, and most need several tables. The lock of delivery is
+// never taken while this one is held, nor the other way round.
+type tables struct {
+	mu struct {
+		sync.Mutex
+		roster   *roster.Table
+		balance  *balance.Table
+		retries  *retrybudget.Budget
+		graph    *callgraph.Local
+		shed     *loadshed.Table
+		splitter *route.Splitter
+		costs    map[string]callgraph.Cost // of routes, as answers told
+	}
+	inForce atomic.Pointer[route.Configuration]
+}
+
+func newTables(s *Settings, start float64) *tables {
+	t := &tables{}
+	t.mu.roster = roster.NewTable()
+	t.mu.balance = balance.NewTable(s.Domain)
+	t.mu.retries = retrybudget.New(s.Retries)
+	t.mu.graph = callgraph.NewLocal(s.Service)
+	t.mu.shed = loadshed.NewTable()
+	t.mu.splitter = route.NewSplitter(start)
+	t.mu.costs = map[string]callgraph.Cost{}
+	return t
+}
+
+// observeRun notes the beginning or end of a run on the own target.
+func (t *tables) observeRun(routeName string, began bool, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if began {
+		t.mu.graph.Began(routeName)
+	} else {
+		t.mu.graph.Ended(routeName, took)
+	}
+}
+
+// views returns what the own node knows of the services that a route leads to.
+func (t *tables) views(now time.Time, routeName, service string, own link.Load) []link.ServiceView {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cost := t.mu.graph.Of(routeName)
+	views := make([]link.ServiceView, 0, len(cost)+1)
+	for _, name := range cost.Services() {
+		pressure, _ := t.mu.shed.Pressure(now, name)
+		if name == service {
+			pressure = pressureOf(own)
+		}
+		views = append(views, link.ServiceView{
+			Service: name, Cost: cost[name].Round(100 * time.Microsecond), Pressure: encodePressure(pressure),
+		})
+	}
+	return views
+}
+
+func pressureOf(l link.Load) float64 {
+	if l.Slots <= 0 {
+		return 0
+	}
+	return float64(l.Running+l.Waiting) / float64(l.Slots)
+}
+
+func encodePressure(p float64) uint8 { return uint8(min(p*pressureScale, maxPressure)) }
+
+// learn takes in what a reply tells of the services behind the route. The lock
+// is held.
+func (t *tables) learn(now time.Time, routeName string, fromTarget bool, reply *link.Reply) {
+	if len(reply.Views) == 0 {
+		return
+	}
+	cost := make(callgraph.Cost, len(reply.Views))
+	for _, view := range reply.Views {
+		cost[view.Service] = view.Cost
+		if view.Pressure > 0 {
+			t.mu.shed.Observe(now, view.Service, float64(view.Pressure)/pressureScale)
+		}
+	}
+	t.mu.costs[routeName] = cost
+	if fromTarget {
+		t.mu.graph.Learn(routeName, cost)
+	}
+}
+
+// charges returns what a request of the route costs. The lock is held.
+func (t *tables) charges(routeName string) []loadshed.Charge {
+	cost := t.mu.costs[routeName]
+	charges := make([]loadshed.Charge, 0, len(cost))
+	for service, each := range cost {
+		charges = append(charges, loadshed.Charge{Service: service, Cost: each})
+	}
+	return charges
+}
+
+func (t *tables) tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mu.shed.Tick(now)
+}
--- /dev/null
+++ b/node/target.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gypsumford/gypsumford/roster"
+)
+
+// Beat takes in a heartbeat of the target beside the node.
+func (n *Node) Beat(t roster.Target) {
+	if t.Service != n.settings.Service {
+		n.log.ignored("heartbeat", "service is not that of this instance", "service", t.Service, "target", t.ID)
+		return
+	}
+	if n.delivery.beat(t) {
+		n.targetChanged()
+	}
+}
+
+// Leave takes in the word of the target that it goes.
+func (n *Node) Leave(id string) {
+	if n.delivery.leave(id) {
+		n.targetChanged()
+	}
+}
+
+// Unreadable hears of a heartbeat that can't be used.
+func (n *Node) Unreadable(err error) { n.log.ignored("heartbeat", err.Error()) }
+
+// watchTarget notes that heartbeats have stopped.
+func (n *Node) watchTarget() {
+	if n.delivery.expire() {
+		n.targetChanged()
+	}
+}
+
+// targetChanged states the target's new state to all.
+func (n *Node) targetChanged() {
+	target := n.delivery.target()
+	n.mu.Lock()
+	n.mu.record.Sequence++
+	n.mu.record.Target = target
+	record := n.mu.record
+	n.mu.Unlock()
+	n.log.target(&record)
+	n.announce(record)
+}
+
+func (n *Node) announce(record roster.Record) {
+	n.offer(record, "own")
+	n.links.Announce()
+	select {
+	case n.publish <- struct{}{}:
+	default:
+	}
+}
+
+// publishLoop writes the node's record to the store after each change, until
+// that has succeeded.
+func (n *Node) publishLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.publish:
+		}
+		wait := minPublishWait
+		for ctx.Err() == nil {
+			err := n.publishOnce(ctx)
+			if err == nil {
+				break
+			}
+			n.log.dependency("store: publication", err)
+			time.Sleep(wait/2 + rand.N(wait))
+			wait = min(2*wait, maxPublishWait)
+		}
+	}
+}
+
+func (n *Node) publishOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	return n.platform.Directory.Publish(ctx, n.Record())
+}
--- /dev/null
+++ b/roster/own.go
@@ -0,0 +1,80 @@
+package roster
+
+import "time"
+
+// lapseIntervals is how many heartbeat intervals may pass without a heartbeat
+// before the target counts as absent. Heartbeats may be seconds late.
+const lapseIntervals = 4
+
+// Own follows the target beside the node by its heartbeats.
+type Own struct {
+	interval time.Duration // between heartbeats
+	target   Target
+	heard    time.Time
+	drained  time.Time // when the target first said that it leaves
+	lapsed   bool
+}
+
+// NewOwn returns the state of a node that has heard of no target yet.
+func NewOwn(interval time.Duration) *Own { return &Own{interval: interval} }
+
+// Target returns the current target and when it began to drain, if it did.
+func (o *Own) Target() (Target, time.Time) { return o.target, o.drained }
+
+// Beat takes in a heartbeat. It reports whether something changed that others
+// must learn. A heartbeat of an earlier incarnation, or one that was overtaken,
+// changes nothing.
+func (o *Own) Beat(now time.Time, t Target) bool {
+	if !o.follows(&t) {
+		return false
+	}
+	previous := o.target
+	sameRun := previous.ID == t.ID && previous.Born == t.Born
+	if sameRun && o.drained.IsZero() == false && !o.lapsed {
+		t.State = previous.State // a target that leaves doesn't come back
+	}
+	wasLapsed := o.lapsed
+	o.target, o.heard, o.lapsed = t, now, false
+	if !sameRun {
+		o.drained = time.Time{}
+	}
+	if t.State == Draining && o.drained.IsZero() {
+		o.drained = now
+	}
+	return !sameRun || wasLapsed || previous.State != t.State || previous.Slots != t.Slots || previous.Service != t.Service
+}
+
+// follows reports whether the statement is later than what is known.
+func (o *Own) follows(t *Target) bool {
+	if t.Born != o.target.Born {
+		return t.Born > o.target.Born
+	}
+	if t.ID != o.target.ID {
+		return o.target.State == Absent || t.Sequence > 0 && o.target.ID == ""
+	}
+	return t.Sequence > o.target.Sequence
+}
+
+// Leave takes in the target's word that it goes. It reports whether this changed
+// anything: the word of another target than the current one doesn't.
+func (o *Own) Leave(now time.Time, id string) bool {
+	if id != o.target.ID || o.target.State == Absent {
+		return false
+	}
+	if o.drained.IsZero() {
+		o.drained = now
+	}
+	o.target.State = Absent
+	return true
+}
+
+// Expire notes that heartbeats have stopped. It reports whether that changed
+// anything.
+func (o *Own) Expire(now time.Time) bool {
+	if o.target.State != Ready || now.Sub(o.heard) < lapseIntervals*o.interval {
+		return false
+	}
+	o.target.State = Absent
+	o.lapsed = true
+	return true
+}
