Tell requests of callers from calls of targets; shed at the entry; poll the configuration in turns

Now the nodes read the configuration in turns and tell each other of new versions. Callers and the target share an address, so their requests are told apart by where they begin: callers beside all services, calls beside few.

--- a/cmd/gypsumd/sidecar.go
+++ b/cmd/gypsumd/sidecar.go
@@ -51,9 +51,30 @@
 	}, log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go reload(ctx, n, log)
 	if err := n.Run(ctx); err != nil {
 		log.Error(err, "node failed")
 		return 1
 	}
 	return 0
 }
+
+// reload reads the settings file again at each SIGHUP. A file with mistakes
+// changes nothing.
+func reload(ctx context.Context, n *node.Node, log logr.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		settings, err := platform.ReadSettings()
+		if err != nil {
+			log.Error(err, "settings not reloaded, the earlier ones stay in force")
+			continue
+		}
+		n.Reload(&settings.Node)
+	}
+}
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -21,18 +21,21 @@
 	// leaveDelay is how long a node that stops still takes calls of peers that
 	// haven't heard of it.
 	leaveDelay = 700 * time.Millisecond
+	// startMargin before its deadline a waiting call is turned away, so that its
+	// sender still hears that it hasn't run.
+	startMargin = 20 * time.Millisecond
 	// expireInterval paces the closing of idle connections to the target.
 	expireInterval = 1 * time.Second
 )
 
 // delivery hands calls to the target beside the node.
 type delivery struct {
-	settings *Settings
-	now      func() time.Time
-	pool     *egress.Pool
-	sender   *egress.Sender
-	observe  func(route string, began bool, took time.Duration)
-	views    func(route string) []link.ServiceView
+	now     func() time.Time
+	pool    *egress.Pool
+	sender  *egress.Sender
+	observe func(route string, began bool, took time.Duration)
+	origin  func(route, caller string) bool
+	views   func(route string) []link.ServiceView
 
 	mu struct {
 		sync.Mutex
@@ -40,12 +43,14 @@
 		limiter *limiter.Limiter
 		waiting map[*limiter.Item]chan struct{}
 		leaving time.Time // when the node began to stop
+		drain   time.Duration
 	}
 }
 
 func newDelivery(s *Settings, dialect egress.Dialect, now func() time.Time) *delivery {
 	pool := egress.NewPool(s.TargetAddress, now)
-	d := &delivery{settings: s, now: now, pool: pool, sender: egress.NewSender(pool, dialect)}
+	d := &delivery{now: now, pool: pool, sender: egress.NewSender(pool, dialect)}
+	d.mu.drain = s.DrainTime
 	d.mu.own = roster.NewOwn(s.HeartbeatInterval)
 	d.mu.limiter = limiter.New(0)
 	d.mu.waiting = map[*limiter.Item]chan struct{}{}
@@ -79,6 +84,12 @@
 	return d.mu.own.Expire(d.now())
 }
 
+func (d *delivery) setDrainTime(drain time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mu.drain = drain
+}
+
 // stop makes the node turn calls away soon.
 func (d *delivery) stop() {
 	d.mu.Lock()
@@ -122,6 +133,7 @@
 func (d *delivery) finish(reply *link.Reply, c *link.Call) *link.Reply {
 	reply.Load = d.load()
 	reply.Views = d.views(c.Route)
+	reply.FromCallers = d.origin(c.Route, c.Caller)
 	return reply
 }
 
@@ -158,7 +170,7 @@
 }
 
 func (d *delivery) wait(ctx context.Context, c *link.Call, item *limiter.Item, turn chan struct{}) *link.Reply {
-	timer := time.NewTimer(item.Deadline.Sub(d.now()))
+	timer := time.NewTimer(item.Deadline.Sub(d.now()) - startMargin)
 	defer timer.Stop()
 	reason := link.ReasonNone
 	select {
@@ -190,7 +202,7 @@
 func (d *delivery) turnedAway(c *link.Call) link.Reason {
 	target, drained := d.mu.own.Target()
 	now := d.now()
-	fence := time.Duration(fenceShare * float64(d.settings.DrainTime))
+	fence := time.Duration(fenceShare * float64(d.mu.drain))
 	switch {
 	case target.ID != c.Target || target.Service != c.Service:
 		return link.ReasonTargetChanged
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -45,7 +45,7 @@
 	route         *route.Route
 	service       string
 	deadline      time.Time
-	fromTarget    bool
+	fromTarget    bool     // a call that the own target makes, as far as is known
 	sends         int      // to nodes
 	arrivals      int      // at targets
 	excluded      []string // targets that were tried
@@ -63,7 +63,6 @@
 	if r.route == nil || len(r.route.Destinations) == 0 {
 		return d.end(r, &ingress.Answer{Status: http.StatusNotFound, Own: true}, "no-route")
 	}
-	r.fromTarget = ingress.SameHost(in.Remote, d.settings.TargetAddress)
 	r.deadline = deadlineOf(in, r.route)
 	if answer := d.admit(r); answer != nil {
 		return answer
@@ -91,6 +90,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.service = t.mu.splitter.Next(r.route)
+	r.fromTarget = !t.mu.entries[r.route.Name]
 	if r.fromTarget {
 		t.mu.graph.Called(r.route.Name)
 		return nil // its parent runs already; a refusal would waste that work
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -44,7 +43,6 @@
 	Host    string
 	Header  []string // names and values by turns, to be forwarded
 	Body    []byte
-	Remote  string // address of the caller
 	Arrived time.Time
 }
 
@@ -111,7 +109,7 @@
 	path, _, _ := strings.Cut(uri, "?")
 	answer := s.handler.Handle(r.Context(), &Request{
 		Fields: fields, Method: r.Method, URI: uri, Path: path, Host: r.Host,
-		Header: s.forwarded(r.Header), Body: body, Remote: r.RemoteAddr, Arrived: arrived,
+		Header: s.forwarded(r.Header), Body: body, Arrived: arrived,
 	})
 	if answer == nil {
 		panic(http.ErrAbortHandler) // the caller has left
@@ -231,13 +229,3 @@
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
-
-// SameHost reports whether the remote address is on the host of the other one.
-func SameHost(remote, address string) bool {
-	remoteHost, _, err := net.SplitHostPort(remote)
-	if err != nil {
-		return false
-	}
-	host, _, err := net.SplitHostPort(address)
-	return err == nil && host == remoteHost
-}
--- a/node/log.go
+++ b/node/log.go
@@ -26,7 +26,7 @@
 	}
 	l.Info("request ended", "request", r.RequestID, "route", routeName, "service", r.service,
 		"status", status, "own", a == nil || a.Own, "why", why, "last", r.last.String(),
-		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "remote", r.Remote, "child", r.fromTarget)
+		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "child", r.fromTarget)
 }
 
 // shed logs a request that was refused at the entry.
--- a/node/node.go
+++ b/node/node.go
@@ -40,7 +40,12 @@
 	ownInterval       = 250 * time.Millisecond
 	// versionDelay is how long a newer version that a peer has may take to come
 	// from the store before the peer is asked for it.
-	versionDelay = 250 * time.Millisecond
+	versionDelay = 150 * time.Millisecond
+	// pullDelay is how long that reading may take.
+	pullDelay = 400 * time.Millisecond
+	// pollSpacing is the time between two nodes' reads of the configuration.
+	pollSpacing   = 400 * time.Millisecond
+	maxPollPeriod = 20 * time.Second
 )
 
 // Dialect is all that the node needs to know of the callers' and targets' fields.
@@ -95,6 +100,7 @@
 	n.tables = newTables(s, rand.Float64())
 	n.delivery = newDelivery(s, p.Dialect, n.now)
 	n.delivery.observe = n.tables.observeRun
+	n.delivery.origin = n.tables.observeOrigin
 	n.delivery.views = func(routeName string) []link.ServiceView {
 		return n.tables.views(n.now(), routeName, s.Service, n.delivery.load())
 	}
@@ -134,6 +140,7 @@
 	go n.configs.Run(background)
 	go n.records.Run(background)
 	go n.publishLoop(background)
+	go n.poll(background)
 	go every(background, link.TickInterval, n.links.Tick)
 	go every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
 	go every(background, ownInterval, n.watchTarget)
--- a/node/peers.go
+++ b/node/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gypsumford/gypsumford/node/link"
 	"github.com/gypsumford/gypsumford/node/store"
 	"github.com/gypsumford/gypsumford/roster"
@@ -29,7 +31,7 @@
 }
 
 // PeerVersion hears which version a peer has. If it stays newer than the own
-// one, the store is read again and the peer is asked.
+// one, the store is read again, and if that doesn't help the peer is asked.
 func (n *Node) PeerVersion(v route.Version, pull func()) {
 	if v <= n.Version() || !n.pulling.CompareAndSwap(false, true) {
 		return
@@ -38,11 +40,39 @@
 		n.pulling.Store(false)
 		if v > n.Version() {
 			n.configs.Hurry()
-			pull()
+			time.AfterFunc(pullDelay, func() {
+				if v > n.Version() {
+					pull()
+				}
+			})
 		}
 	})
 }
 
+// poll reads the configuration from time to time: a watch may miss a change
+// without notice. The nodes take turns, so that some node finds a change soon,
+// and tell each other of new versions.
+func (n *Node) poll(ctx context.Context) {
+	for {
+		period := min(time.Duration(n.instances())*pollSpacing, maxPollPeriod)
+		phase := time.Duration(xxhash.Sum64String(n.settings.Name) % uint64(period))
+		now := time.Duration(n.now().UnixNano())
+		wait := period - (now-phase)%period
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+			n.configs.Check(ctx)
+		}
+	}
+}
+
+func (n *Node) instances() int {
+	n.tables.mu.Lock()
+	defer n.tables.mu.Unlock()
+	return max(len(n.tables.mu.roster.All()), 1)
+}
+
 // PeerRecord hears what a peer states of itself.
 func (n *Node) PeerRecord(r roster.Record) {
 	if r.Instance != "" {
--- /dev/null
+++ b/node/reload.go
@@ -0,0 +1,20 @@
+package node
+
+import "github.com/gypsumford/gypsumford/retrybudget"
+
+// Reload takes over the settings that may change while the node runs: the
+// bounds. Names and addresses change with the next start only.
+func (n *Node) Reload(s *Settings) {
+	n.delivery.setDrainTime(s.DrainTime)
+	n.tables.setRetries(s.Retries)
+	restart := s.CallerAddress != n.settings.CallerAddress || s.PeerAddress != n.settings.PeerAddress ||
+		s.Service != n.settings.Service || s.TargetAddress != n.settings.TargetAddress
+	n.log.Info("settings reloaded", "drainS", s.DrainTime.Seconds(), "retryRatio", s.Retries.Ratio,
+		"retrySlack", s.Retries.Slack, "needsRestart", restart)
+}
+
+func (t *tables) setRetries(c retrybudget.Config) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mu.retries.Configure(c)
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -10,8 +10,10 @@
 	// the platform notices only after two of its questions, a second apart.
 	leavingTime = 2300 * time.Millisecond
 	// graceMargin is kept from the time until the process is killed.
-	graceMargin = 600 * time.Millisecond
-	stopStep    = 20 * time.Millisecond
+	graceMargin = 1 * time.Second
+	// cutOffTime is how long answers to requests that were cut off may take.
+	cutOffTime = 300 * time.Millisecond
+	stopStep   = 20 * time.Millisecond
 	// quietTime is how long no request must be under way before the node stops.
 	quietTime = 300 * time.Millisecond
 )
@@ -29,10 +31,11 @@
 	n.mu.Unlock()
 	n.announce(record)
 	n.waitIdle(started.Add(leavingTime), started.Add(n.settings.GraceTime-graceMargin))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.settings.GraceTime-graceMargin/2))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.settings.GraceTime-graceMargin+cutOffTime))
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
 		n.log.Info("requests cut off", "requests", n.ingress.Active(), "error", err.Error())
+		_ = s.callers.Close() // nothing more can be done for them
 	}
 	_ = s.peers.Close() // calls of peers are counted in waitIdle
 	for _, server := range s.control {
--- a/node/store/follower.go
+++ b/node/store/follower.go
@@ -29,7 +29,8 @@
 	// after one.
 	Failed   func(error)
 	Regained func()
-	// Pause between two calls lets changes that come together cost one call.
+	// Pause after a change, if set, and one read of the whole state let changes
+	// that come together cost few calls.
 	Pause time.Duration
 
 	hurry chan struct{}
@@ -49,6 +50,12 @@
 	}
 }
 
+// Check reads the source once, beside the wait for changes. Errors are left to
+// Run, which meets them too.
+func (f *Follower[T]) Check(ctx context.Context) {
+	_, _ = f.readAll(ctx)
+}
+
 // Run follows the source until the context ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	backoff := minBackoff
@@ -61,10 +68,15 @@
 				f.Regained()
 			}
 			backoff = minBackoff
+			var changed bool
+			if revision, changed, err = f.wait(ctx, revision); changed && f.Pause > 0 {
+				break // one read tells all changes, where a wait tells one
+			}
+		}
+		if err == nil {
 			sleep(ctx, f.Pause)
-			revision, err = f.wait(ctx, revision)
 		}
-		if ctx.Err() != nil || errors.Is(err, errHurried) || errors.Is(err, ErrCompacted) {
+		if ctx.Err() != nil || err == nil || errors.Is(err, errHurried) || errors.Is(err, ErrCompacted) {
 			continue
 		}
 		failing = true
@@ -87,7 +99,7 @@
 
 var errHurried = errors.New("told to read now")
 
-func (f *Follower[T]) wait(ctx context.Context, since Revision) (Revision, error) {
+func (f *Follower[T]) wait(ctx context.Context, since Revision) (Revision, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, waitTime+answerMargin)
 	defer cancel()
 	hurried := make(chan bool, 1)
@@ -104,15 +116,15 @@
 	changes, revision, err := f.Source.Wait(ctx, since, waitTime)
 	close(done)
 	if <-hurried && err != nil {
-		return 0, errHurried
+		return 0, false, errHurried
 	}
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	if len(changes) > 0 {
 		f.Changed(changes)
 	}
-	return revision, nil
+	return revision, len(changes) > 0, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/node/tables.go
+++ b/node/tables.go
@@ -32,7 +32,9 @@
 		graph    *callgraph.Local
 		shed     *loadshed.Table
 		splitter *route.Splitter
+		origins  *callgraph.Origins
 		costs    map[string]callgraph.Cost // of routes, as answers told
+		entries  map[string]bool           // routes that callers use, as answers told
 	}
 	inForce atomic.Pointer[route.Configuration]
 }
@@ -45,10 +47,25 @@
 	t.mu.graph = callgraph.NewLocal(s.Service)
 	t.mu.shed = loadshed.NewTable()
 	t.mu.splitter = route.NewSplitter(start)
+	t.mu.origins = callgraph.NewOrigins()
 	t.mu.costs = map[string]callgraph.Cost{}
+	t.mu.entries = map[string]bool{}
 	return t
 }
 
+// observeOrigin notes where a call for the own target began, and reports whether
+// callers use its route.
+func (t *tables) observeOrigin(routeName, caller string) bool {
+	services := 0
+	if c := t.inForce.Load(); c != nil {
+		services = len(c.Services)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mu.origins.Seen(routeName, caller)
+	return services > 0 && t.mu.origins.FromCallers(routeName, services)
+}
+
 // observeRun notes the beginning or end of a run on the own target.
 func (t *tables) observeRun(routeName string, began bool, took time.Duration) {
 	t.mu.Lock()
@@ -90,6 +107,9 @@
 // learn takes in what a reply tells of the services behind the route. The lock
 // is held.
 func (t *tables) learn(now time.Time, routeName string, fromTarget bool, reply *link.Reply) {
+	if reply.FromCallers {
+		t.mu.entries[routeName] = true
+	}
 	if len(reply.Views) == 0 {
 		return
 	}
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -42,6 +42,14 @@
 	return &Budget{config: config, services: map[string]*counter{}}
 }
 
+// Configure changes what operators allow.
+func (b *Budget) Configure(config Config) {
+	if config.Window != b.config.Window {
+		b.services = map[string]*counter{} // buckets of another length
+	}
+	b.config = config
+}
+
 func (b *Budget) counter(now time.Time, service string) *counter {
 	c := b.services[service]
 	if c == nil {
