Let a fraction of the demand in, rather than an allowance of each entry

Now each entry moves the fraction of the demand that it lets in, which the common pressure keeps alike everywhere, and a proportional part cuts at once when queues form.

--- a/loadshed/loadshed.go
+++ b/loadshed/loadshed.go
@@ -1,16 +1,17 @@
 // Package loadshed decides at the entry whether a new request is let in.
 //
 // A request that is let in leads to calls of deeper services, so it is refused
-// or admitted whole, by what it costs the fullest service on its way. Each entry
-// keeps an allowance for each service: the time of the service's targets that
-// its requests may take a second. The allowance follows the service's pressure,
-// which answers carry back from there: it grows while the service has room and
-// shrinks while it is overfull. All entries see about the same pressure, so they
-// move together, and none needs to know the others.
+// or admitted whole, by the fullest service on its way. For each service an entry
+// keeps the fraction of the demand that it lets in, in terms of the time that
+// requests take of the service's targets. The fraction follows the service's
+// pressure, which answers carry back from there: an integral part moves it until
+// the pressure is on target, and a proportional part cuts it at once when queues
+// have formed. All entries see about the same pressure, so they move together
+// and none needs to know the others.
 //
-// Requests are paid for from the allowance. The more important ones may
-// overdraw it, which the less important ones then wait for: so these are refused
-// first.
+// Within the fraction the more important requests come first: a priority is let
+// in whole if the fraction exceeds what it and all more important ones demand.
+// Of the priority that is let in partly, every n-th request is, evenly spaced.
 package loadshed
 
 import (
@@ -21,24 +22,26 @@
 const (
 	// TickInterval paces Tick.
 	TickInterval = 100 * time.Millisecond
-	// targetPressure is the share of the slots that is to be in use: below it
-	// time is left idle, above it queues grow.
-	targetPressure = 0.9
-	pressureTime   = 200 * time.Millisecond // in which the pressure follows the answers
+	// targetPressure is the share of the usable slots that is to be in use: below
+	// it time is left idle, above it queues grow.
+	targetPressure = 0.92
+	pressureTime   = 150 * time.Millisecond // in which the pressure follows the answers
 	pressureAge    = 1500 * time.Millisecond
-	growth         = 1.0 // of the allowance, a second and unit of room
-	decline        = 3.0 // of the allowance, a second and unit of excess
-	headroom       = 1.4 // the allowance is at most this much above the demand
-	demandTime     = 1 * time.Second
-	burstTime      = 600 * time.Millisecond // of the allowance can be saved up
-	burstRequests  = 2.0                    // of the largest cost can be saved up
-	minAllowance   = 0.02                   // slots
-	// overdraft, by priority, is how many bursts a request may overdraw.
-	importantOverdraft = 4.0
-	middleOverdraft    = 1.0
-	// crisisPressure is where even the most important requests are refused: the
-	// targets' queues can't hold them.
-	crisisPressure = 3.0
+	// growth and decline are the rates, a second, at which the fraction follows
+	// the logarithm of the pressure over its target. A request works for about
+	// half a second, so the effect of a change shows that late; faster rates
+	// would overshoot.
+	growth      = 1.0
+	decline     = 2.0
+	minFraction = 0.02
+	// queuePressure is where the proportional part begins to cut, and
+	// fullPressure where it lets nothing but the most important in.
+	queuePressure = 1.1
+	fullPressure  = 2.0
+	// demandTime is the time over which the mix of priorities is averaged.
+	demandTime = 3 * time.Second
+	// priorities is how many are told apart; less important ones count as the last.
+	priorities = 8
 )
 
 // Charge is what a request costs one service.
@@ -47,20 +50,20 @@
 	Cost    time.Duration // time of the service's targets
 }
 
-// Table holds the allowances of one entry.
+// Table holds what one entry lets in.
 type Table struct {
 	services map[string]*service
 }
 
 type service struct {
-	pressure  float64
-	heard     time.Time // of the pressure
-	allowance float64   // slots
-	tokens    float64   // slot seconds
-	demand    float64   // slots that all requests would take, those refused included
-	asked     float64   // slot seconds since the last tick
-	largest   float64   // cost of one request, slot seconds
-	ticked    time.Time
+	pressure float64
+	heard    time.Time // of the pressure
+	fraction float64   // of the demand that is let in
+	ticked   time.Time
+	asked    [priorities]float64 // slot seconds since the last tick, refused ones included
+	demand   [priorities]float64 // slots
+	share    [priorities]float64 // of the requests that are let in
+	credit   [priorities]float64 // of the next request, it is let in at 1
 }
 
 // NewTable returns a table that admits everything.
@@ -69,7 +72,10 @@
 func (t *Table) service(name string) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{allowance: math.Inf(1)}
+		s = &service{fraction: 1}
+		for p := range s.share {
+			s.share[p] = 1
+		}
 		t.services[name] = s
 	}
 	return s
@@ -82,7 +88,8 @@
 	if s.heard.IsZero() || now.Sub(s.heard) > pressureAge {
 		s.pressure = pressure
 	} else {
-		gain := 1 - math.Exp(-float64(now.Sub(s.heard)+5*time.Millisecond)/float64(pressureTime))
+		const sampleTime = 5 * time.Millisecond // answers that come together count too
+		gain := 1 - math.Exp(-float64(now.Sub(s.heard)+sampleTime)/float64(pressureTime))
 		s.pressure += gain * (pressure - s.pressure)
 	}
 	s.heard = now
@@ -97,104 +104,116 @@
 	return s.pressure, true
 }
 
-// Tick moves the allowances, every TickInterval.
+// Tick moves the fractions, every TickInterval.
 func (t *Table) Tick(now time.Time) {
 	for name, s := range t.services {
-		dt := now.Sub(s.ticked).Seconds()
-		if s.ticked.IsZero() || dt > 1 {
+		dt := min(now.Sub(s.ticked).Seconds(), 1)
+		if s.ticked.IsZero() {
 			dt = TickInterval.Seconds()
 		}
 		s.ticked = now
-		s.demand += (1 - math.Exp(-dt/demandTime.Seconds())) * (s.asked/dt - s.demand)
-		s.asked = 0
+		gain := 1 - math.Exp(-dt/demandTime.Seconds())
+		for p := range s.demand {
+			s.demand[p] += gain * (s.asked[p]/dt - s.demand[p])
+			s.asked[p] = 0
+		}
 		pressure, known := t.Pressure(now, name)
 		s.move(dt, pressure, known)
-		s.tokens = min(s.tokens+s.allowance*dt, s.burst())
+		s.deal(pressure, known)
 	}
 }
 
+// move is the integral part.
 func (s *service) move(dt, pressure float64, known bool) {
-	highest := max(headroom*s.demand, minAllowance)
-	if math.IsInf(s.allowance, 1) {
-		if !known || pressure < targetPressure {
-			return
-		}
-		s.allowance = highest
-	}
-	room := 1.0
+	excess := -1.0 // an unknown pressure counts as room
 	if known {
-		room = (targetPressure - pressure) / targetPressure
+		excess = math.Log(max(pressure, 0.1) / targetPressure)
 	}
 	rate := growth
-	if room < 0 {
+	if excess > 0 {
 		rate = decline
 	}
-	s.allowance *= 1 + rate*dt*max(room, -1)
-	s.allowance = min(max(s.allowance, minAllowance), highest)
+	s.fraction *= math.Exp(-rate * dt * excess)
+	s.fraction = min(max(s.fraction, minFraction), 1)
 }
 
-// burst is how much of the allowance can be saved up, in slot seconds.
-func (s *service) burst() float64 {
-	if math.IsInf(s.allowance, 1) {
-		return s.largest * burstRequests
+// deal divides the fraction among the priorities.
+func (s *service) deal(pressure float64, known bool) {
+	total := 0.0
+	for _, d := range s.demand {
+		total += d
+	}
+	left := s.fraction * total
+	if known && pressure > queuePressure {
+		left *= max((fullPressure-pressure)/(fullPressure-queuePressure), 0) // the proportional part
+	}
+	for p, d := range s.demand {
+		switch {
+		case s.fraction >= 1 && left >= total || d <= 0:
+			s.share[p] = 1
+		default:
+			s.share[p] = min(max(left/d, 0), 1)
+		}
+		left -= d
 	}
-	return max(s.allowance*burstTime.Seconds(), s.largest*burstRequests)
 }
 
 // Verdict is what becomes of a request.
 type Verdict struct {
-	Admit      bool
-	RetryAfter time.Duration // if refused: when there is room again
-	Service    string        // that decided, if refused
-	Pressure   float64       // of that service
-	Allowance  float64       // for that service, in slots
+	Admit    bool
+	Service  string  // that decided, if refused
+	Pressure float64 // of that service
+	Share    float64 // of the priority's requests that the service lets in
 }
 
-// Admit decides on a request of the priority and charges it if it is let in.
+// Admit decides on a request of the priority.
 func (t *Table) Admit(now time.Time, priority int, charges []Charge) Verdict {
-	verdict := Verdict{Admit: true}
+	priority = min(max(priority, 0), priorities-1)
+	verdict := Verdict{Admit: true, Share: 1}
+	var decider *service
 	for _, c := range charges {
 		s := t.service(c.Service)
-		cost := c.Cost.Seconds()
-		s.asked += cost
-		s.largest = max(s.largest*0.999, cost)
-		if math.IsInf(s.allowance, 1) {
-			continue
-		}
-		pressure, known := t.Pressure(now, c.Service)
-		floor := -overdraft(priority) * s.burst()
-		crisis := known && pressure > crisisPressure && priority == 0
-		if s.tokens-cost*entryShare(priority) >= floor && !crisis {
-			continue
-		}
-		wait := time.Duration((floor + cost - s.tokens) / s.allowance * float64(time.Second))
-		if verdict.Admit || wait > verdict.RetryAfter {
-			verdict = Verdict{RetryAfter: wait, Service: c.Service, Pressure: pressure, Allowance: s.allowance}
+		s.asked[priority] += c.Cost.Seconds()
+		if share := s.share[priority]; share < verdict.Share {
+			decider = s
+			pressure, _ := t.Pressure(now, c.Service)
+			verdict.Service, verdict.Pressure, verdict.Share = c.Service, pressure, share
 		}
 	}
+	if decider == nil {
+		return verdict
+	}
+	credit := &decider.credit[priority]
+	*credit = min(*credit+verdict.Share, 2)
+	verdict.Admit = *credit >= 1
 	if verdict.Admit {
-		for _, c := range charges {
-			t.service(c.Service).tokens -= c.Cost.Seconds()
-		}
+		*credit--
 	}
 	return verdict
 }
 
-func overdraft(priority int) float64 {
-	switch priority {
-	case 0:
-		return importantOverdraft
-	case 1:
-		return middleOverdraft
-	}
-	return 0
+// State is what holds the requests for one service back.
+type State struct {
+	Service  string
+	Pressure float64
+	Known    bool    // the pressure was heard lately
+	Fraction float64 // of the demand that is let in
+	Demand   float64 // slots
 }
 
-// entryShare of the cost must be there: the least important requests wait for
-// all of it.
-func entryShare(priority int) float64 {
-	if priority <= 1 {
-		return 0
+// Restricted returns the services that hold requests back.
+func (t *Table) Restricted(now time.Time) []State {
+	var states []State
+	for name, s := range t.services {
+		pressure, known := t.Pressure(now, name)
+		if s.fraction >= 1 && pressure < queuePressure {
+			continue
+		}
+		state := State{Service: name, Pressure: pressure, Known: known, Fraction: s.fraction}
+		for _, d := range s.demand {
+			state.Demand += d
+		}
+		states = append(states, state)
 	}
-	return 1
+	return states
 }
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -20,8 +21,6 @@
 	defaultTimeout = 30 * time.Second
 	// startingRetryAfter is told by a node that has no configuration yet.
 	startingRetryAfter = 300 * time.Millisecond
-	// busyRetryAfter is told when no target can take a request.
-	busyRetryAfter = 400 * time.Millisecond
 	// maxSends bounds how often one request is sent, turned away or not.
 	maxSends = 4
 	// minTimeLeft is the least time with which a request is sent.
@@ -100,8 +99,26 @@
 	if verdict.Admit {
 		return nil
 	}
-	d.log.shed(r, &verdict)
-	return refusal(retryAfter(verdict.RetryAfter, r.deadline.Sub(now)))
+	comeBack := d.comeBack(r, now)
+	d.log.shed(r, &verdict, comeBack)
+	return refusal(comeBack)
+}
+
+// comeBack is when the caller of a refused request does best to ask again: so
+// late that the load may have changed, but early enough for its objective, and
+// not together with the others.
+func (d *dispatcher) comeBack(r *request, now time.Time) time.Duration {
+	const earliest, latest = 0.25, 0.6 // share of the objective
+	objective := r.route.Objective
+	if objective <= 0 {
+		objective = time.Second
+	}
+	share := earliest + rand.Float64()*(latest-earliest)
+	left := r.deadline.Sub(now)
+	if r.HasTimeLeft {
+		left = r.Arrived.Add(r.TimeLeft).Sub(now)
+	}
+	return retryAfter(time.Duration(share*float64(objective)), left)
 }
 
 func refusal(retryAfter time.Duration) *ingress.Answer {
@@ -239,7 +256,7 @@
 	case r.lastReply != nil:
 		return d.end(r, answerOf(r.lastReply), why)
 	case r.arrivals == 0 || r.last == link.ReasonRefused && !r.route.Idempotent:
-		return d.end(r, refusal(retryAfter(busyRetryAfter, r.deadline.Sub(d.now()))), why)
+		return d.end(r, refusal(d.comeBack(r, d.now())), why)
 	case late:
 		return d.end(r, &ingress.Answer{Status: http.StatusGatewayTimeout, Own: true}, why)
 	}
--- a/node/log.go
+++ b/node/log.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/go-logr/logr"
 
 	"github.com/gypsumford/gypsumford/loadshed"
@@ -30,9 +32,9 @@
 }
 
 // shed logs a request that was refused at the entry.
-func (l decisionLog) shed(r *request, v *loadshed.Verdict) {
+func (l decisionLog) shed(r *request, v *loadshed.Verdict, retryAfter time.Duration) {
 	l.Info("request refused", "request", r.RequestID, "route", r.route.Name, "priority", r.route.Priority,
-		"service", v.Service, "pressure", v.Pressure, "allowance", v.Allowance, "retryAfterMs", v.RetryAfter.Milliseconds())
+		"service", v.Service, "pressure", v.Pressure, "share", v.Share, "retryAfterMs", retryAfter.Milliseconds())
 }
 
 func (l decisionLog) target(r *roster.Record) {
@@ -54,3 +56,9 @@
 func (l decisionLog) ignored(what, why string, more ...any) {
 	l.Info("input ignored", append([]any{"input", what, "why", why}, more...)...)
 }
+
+// heldBack logs how far a service's pressure holds new requests back.
+func (l decisionLog) heldBack(s *loadshed.State) {
+	l.Info("requests held back", "service", s.Service, "pressure", s.Pressure, "known", s.Known,
+		"fraction", s.Fraction, "demand", s.Demand)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -44,8 +44,9 @@
 	// pullDelay is how long that reading may take.
 	pullDelay = 400 * time.Millisecond
 	// pollSpacing is the time between two nodes' reads of the configuration.
-	pollSpacing   = 400 * time.Millisecond
-	maxPollPeriod = 20 * time.Second
+	reportInterval = 1 * time.Second
+	pollSpacing    = 400 * time.Millisecond
+	maxPollPeriod  = 20 * time.Second
 )
 
 // Dialect is all that the node needs to know of the callers' and targets' fields.
@@ -143,6 +144,7 @@
 	go n.poll(background)
 	go every(background, link.TickInterval, n.links.Tick)
 	go every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
+	go every(background, reportInterval, n.reportHeldBack)
 	go every(background, ownInterval, n.watchTarget)
 	go every(background, expireInterval, n.delivery.pool.Expire)
 	select {
@@ -204,6 +206,16 @@
 // ready reports whether callers may send requests here.
 func (n *Node) ready() bool { return n.tables.inForce.Load() != nil && !n.stopping.Load() }
 
+// reportHeldBack logs which services hold requests back.
+func (n *Node) reportHeldBack() {
+	n.tables.mu.Lock()
+	states := n.tables.mu.shed.Restricted(n.now())
+	n.tables.mu.Unlock()
+	for i := range states {
+		n.log.heldBack(&states[i])
+	}
+}
+
 func every(ctx context.Context, interval time.Duration, do func()) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
