Credit calls to the routes that make them by a fit of rates; spare important requests

A route now has no known origin until enough requests were seen. Costs that are negligible for a service no longer hold a request back, and the most important requests are held back only when the targets' queues are hopeless.

--- a/callgraph/callgraph.go
+++ b/callgraph/callgraph.go
@@ -2,30 +2,43 @@
 // lead to.
 //
 // The calls that a target makes while it runs a request name no parent. A Local
-// graph, beside one target, sees which routes the target is running and which
-// calls it makes, and estimates how many calls of each route one run of a route
-// makes: a call is credited to the running routes in proportion to how often
-// they have made it so far (expectation maximization). The cost of a route is
-// then the time of its own runs, plus for each call that it makes the cost of
-// the called route, which the answers to those calls tell. So costs add up from
-// the deepest service to the entry without any node knowing the whole graph.
+// graph, beside one target, sees how many requests of each route the target is
+// running and when it makes a call. It fits the rate of calls of each route as a
+// sum over the running requests (least squares, no rate below 0): whichever
+// routes run when calls are made, and don't when they aren't, get the rate. The
+// rate times the mean time of a run is the number of calls that a run makes.
+//
+// The cost of a route is the time of its own runs, plus for each call that it
+// makes the cost of the called route, which the answers to those calls tell. So
+// costs add up from the deepest service to the entry without any node knowing the
+// whole graph.
 package callgraph
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// rememberedRuns is how many runs of a route count: older ones fade.
-	rememberedRuns = 100
-	// initialCalls stands for the calls of a run until runs have ended.
-	initialCalls = 0.5
-	timeGain     = 0.05 // weight of one run in a route's mean time
-	costGain     = 0.2  // weight of one answer in a called route's cost
+	// memory is how long observations count: older ones fade.
+	memory = 20 * time.Second
+	// timeGain is the weight of one run in a route's mean time.
+	timeGain = 0.05
+	// costGain is the weight of one answer in a called route's cost.
+	costGain = 0.2
+	// ridge keeps rates near 0 until there are observations, in seconds.
+	ridge = 0.2
+	// sweeps of the coordinate descent suffice for the few routes of a service.
+	sweeps = 30
+	// fitInterval paces the fit.
+	fitInterval = 250 * time.Millisecond
 	// minCalls is the number of calls a run below which an edge is noise.
-	minCalls = 0.03
+	minCalls = 0.15
+	// maxCalls and maxCost bound what a wrong estimate can do.
+	maxCalls = 100
+	maxCost  = 30 * time.Second
 )
 
 // Cost is the time that one request takes of the targets of each service.
@@ -36,124 +49,180 @@
 
 // Local is what the node beside a target knows of the target's runs.
 type Local struct {
-	service string
-	routes  map[string]*runs // by name of the route
-	called  map[string]Cost  // by name of the called route
+	service  string
+	routes   []*runs        // in the order in which they were first seen
+	index    map[string]int // by name of the route
+	overlap  [][]float64    // seconds that pairs of routes ran together, times the numbers of runs
+	called   map[string]*called
+	observed time.Time
+	fitted   time.Time
 }
 
-// runs counts the runs of one route.
+// runs is what is known of one route that the target runs.
 type runs struct {
 	running int
-	ended   float64
-	seconds float64            // mean time of a run
-	calls   map[string]float64 // made by ended and present runs, by called route
+	seconds float64 // mean time of a run
+	ended   int
 }
 
-// NewLocal returns a graph for a target of the service.
-func NewLocal(service string) *Local {
-	return &Local{service: service, routes: map[string]*runs{}, called: map[string]Cost{}}
+// called is what is known of one route that the target calls.
+type called struct {
+	coincided []float64 // runs of each route when calls were made, added up
+	rates     []float64 // calls a second that one run of each route makes
+	cost      Cost
 }
 
-func (l *Local) runs(route string) *runs {
-	r := l.routes[route]
-	if r == nil {
-		r = &runs{calls: map[string]float64{}}
-		l.routes[route] = r
-	}
-	return r
+// NewLocal returns a graph for a target of the service.
+func NewLocal(service string) *Local {
+	return &Local{service: service, index: map[string]int{}, called: map[string]*called{}}
 }
 
 // Began notes that the target runs a request of the route.
-func (l *Local) Began(route string) { l.runs(route).running++ }
+func (l *Local) Began(now time.Time, route string) {
+	l.observe(now)
+	l.routes[l.indexOf(route)].running++
+}
 
 // Ended notes that the run has ended after the time.
-func (l *Local) Ended(route string, took time.Duration) {
-	r := l.runs(route)
-	r.running--
+func (l *Local) Ended(now time.Time, route string, took time.Duration) {
+	l.observe(now)
+	r := l.routes[l.indexOf(route)]
+	r.running = max(r.running-1, 0)
 	r.ended++
-	if r.seconds == 0 {
-		r.seconds = took.Seconds()
-	}
-	r.seconds += timeGain * (took.Seconds() - r.seconds)
-	if r.ended > rememberedRuns {
-		fade := 0.5
-		r.ended *= fade
-		for route := range r.calls {
-			r.calls[route] *= fade
-		}
-	}
+	gain := max(timeGain, 1/float64(r.ended))
+	r.seconds += gain * (took.Seconds() - r.seconds)
 }
 
 // Called notes that the target makes a call of the route.
-func (l *Local) Called(route string) {
-	total := 0.0
-	for _, r := range l.routes {
-		total += r.rate(route)
+func (l *Local) Called(now time.Time, route string) {
+	l.observe(now)
+	c := l.calledRoute(route)
+	for i, r := range l.routes {
+		c.coincided[i] += float64(r.running)
+	}
+}
+
+func (l *Local) indexOf(route string) int {
+	if i, ok := l.index[route]; ok {
+		return i
 	}
-	if total == 0 {
-		return // the runs it belongs to are unknown, as after a start
+	i := len(l.routes)
+	l.index[route] = i
+	l.routes = append(l.routes, &runs{})
+	for j := range l.overlap {
+		l.overlap[j] = append(l.overlap[j], 0)
 	}
-	for _, r := range l.routes {
-		if rate := r.rate(route); rate > 0 {
-			r.calls[route] += rate / total
+	l.overlap = append(l.overlap, make([]float64, len(l.routes)))
+	for _, c := range l.called {
+		c.coincided = append(c.coincided, 0)
+		c.rates = append(c.rates, 0)
+	}
+	return i
+}
+
+func (l *Local) calledRoute(route string) *called {
+	c := l.called[route]
+	if c == nil {
+		c = &called{coincided: make([]float64, len(l.routes)), rates: make([]float64, len(l.routes))}
+		l.called[route] = c
+	}
+	return c
+}
+
+// observe adds up the time since the last event.
+func (l *Local) observe(now time.Time) {
+	if l.observed.IsZero() {
+		l.observed = now
+		return
+	}
+	dt := now.Sub(l.observed).Seconds()
+	if dt <= 0 {
+		return
+	}
+	l.observed = now
+	fade := math.Exp(-dt / memory.Seconds())
+	for i, row := range l.overlap {
+		for j := range row {
+			row[j] = row[j]*fade + dt*float64(l.routes[i].running*l.routes[j].running)
+		}
+	}
+	for _, c := range l.called {
+		for i := range c.coincided {
+			c.coincided[i] *= fade
 		}
 	}
 }
 
-// rate is how often the present runs are expected to call the route, a second.
-func (r *runs) rate(route string) float64 {
-	if r.running <= 0 {
-		return 0
+// fit solves for the rates, from time to time.
+func (l *Local) fit() {
+	if l.observed.Sub(l.fitted) < fitInterval {
+		return
 	}
-	perRun := initialCalls
-	if r.ended >= 1 {
-		perRun = (r.calls[route] + initialCalls) / (r.ended + 1)
+	l.fitted = l.observed
+	for _, c := range l.called {
+		for range sweeps {
+			for i, row := range l.overlap {
+				rest := c.coincided[i]
+				for j, both := range row {
+					if j != i {
+						rest -= both * c.rates[j]
+					}
+				}
+				c.rates[i] = max(rest/(row[i]+ridge), 0)
+			}
+		}
 	}
-	return float64(r.running) * perRun / max(r.seconds, 1e-3)
 }
 
 // Calls returns how many calls of the called route one run of the route makes.
-func (l *Local) Calls(route, called string) float64 {
-	r := l.routes[route]
-	if r == nil || r.ended < 1 {
+func (l *Local) Calls(route, calledRoute string) float64 {
+	i, ok := l.index[route]
+	c := l.called[calledRoute]
+	if !ok || c == nil {
 		return 0
 	}
-	return r.calls[called] / r.ended
+	l.fit()
+	return min(c.rates[i]*l.routes[i].seconds, maxCalls)
 }
 
 // Learn takes in the cost of a called route that an answer told.
-func (l *Local) Learn(called string, told Cost) {
-	known := l.called[called]
-	if known == nil {
-		l.called[called] = maps.Clone(told)
+func (l *Local) Learn(route string, told Cost) {
+	c := l.calledRoute(route)
+	if c.cost == nil {
+		c.cost = maps.Clone(told)
 		return
 	}
 	for service, cost := range told {
-		if before, ok := known[service]; ok {
+		if before, ok := c.cost[service]; ok {
 			cost = before + time.Duration(costGain*float64(cost-before))
 		}
-		known[service] = cost
+		c.cost[service] = cost
+	}
+	for service := range c.cost {
+		if _, ok := told[service]; !ok {
+			delete(c.cost, service)
+		}
 	}
 }
 
-// Of returns the cost of a request of the route that the target runs.
+// Of returns the cost of a request of the route that the target runs, nil while
+// none has ended.
 func (l *Local) Of(route string) Cost {
-	r := l.routes[route]
-	if r == nil || r.ended < 1 {
+	i, ok := l.index[route]
+	if !ok || l.routes[i].ended == 0 {
 		return nil
 	}
-	cost := Cost{l.service: time.Duration(r.seconds * float64(time.Second))}
-	for called := range r.calls {
-		calls := r.calls[called] / r.ended
+	cost := Cost{l.service: seconds(l.routes[i].seconds)}
+	for name, c := range l.called {
+		calls := l.Calls(route, name)
 		if calls < minCalls {
 			continue
 		}
-		for service, each := range l.called[called] {
-			cost[service] += time.Duration(calls * float64(each))
+		for service, each := range c.cost {
+			cost[service] = min(cost[service]+time.Duration(calls*float64(each)), maxCost)
 		}
 	}
 	return cost
 }
 
-// Told returns the cost of a called route as its answers tell it, or nil.
-func (l *Local) Told(called string) Cost { return l.called[called] }
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/callgraph/callgraph_test.go
@@ -0,0 +1,91 @@
+package callgraph
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// play runs a target that takes requests of two routes at the given rates, of
+// which one makes calls and the other makes none.
+func play(local *Local, seed uint64, callersPerS, plainPerS float64, calls int, length time.Duration) {
+	type event struct {
+		at time.Time
+		do func(now time.Time)
+	}
+	random := rand.New(rand.NewPCG(seed, 1))
+	start := time.Unix(1000, 0)
+	var events []event
+	add := func(at time.Time, do func(time.Time)) { events = append(events, event{at, do}) }
+	arrivals := func(perS float64, begin func(at time.Time)) {
+		for at := start; at.Sub(start) < length; {
+			at = at.Add(time.Duration(random.ExpFloat64() / perS * float64(time.Second)))
+			begin(at)
+		}
+	}
+	run := func(route string, at time.Time, took time.Duration, calls int) {
+		add(at, func(now time.Time) { local.Began(now, route) })
+		for i := range calls {
+			add(at.Add(took*time.Duration(i+1)/time.Duration(calls+1)), func(now time.Time) { local.Called(now, "called") })
+		}
+		add(at.Add(took), func(now time.Time) { local.Ended(now, route, took) })
+	}
+	arrivals(callersPerS, func(at time.Time) { run("caller", at, 135*time.Millisecond, calls) })
+	arrivals(plainPerS, func(at time.Time) {
+		run("plain", at, time.Duration((0.5+random.Float64())*260)*time.Millisecond, 0)
+	})
+	for len(events) > 0 { // in the order of time
+		first := 0
+		for i := range events {
+			if events[i].at.Before(events[first].at) {
+				first = i
+			}
+		}
+		events[first].do(events[first].at)
+		events[first] = events[len(events)-1]
+		events = events[:len(events)-1]
+	}
+}
+
+func TestCallsAreCreditedToTheRouteThatMakesThem(t *testing.T) {
+	Convey("Of two routes that always run together, the one that calls gets the calls", t, func() {
+		for seed := range uint64(5) {
+			local := NewLocal("archive")
+			play(local, seed, 60, 16, 4, 15*time.Second)
+			So(local.Calls("caller", "called"), ShouldAlmostEqual, 4, 0.6)
+			So(local.Calls("plain", "called"), ShouldBeLessThan, 0.8)
+		}
+	})
+}
+
+func TestCostsAddUp(t *testing.T) {
+	Convey("The cost of a route is its own time and that of its calls", t, func() {
+		local := NewLocal("archive")
+		play(local, 1, 20, 5, 4, 15*time.Second)
+		local.Learn("called", Cost{"printer": 30 * time.Millisecond})
+		cost := local.Of("caller")
+		So(cost["archive"], ShouldAlmostEqual, 135*time.Millisecond, 10*time.Millisecond)
+		So(cost["printer"], ShouldAlmostEqual, 120*time.Millisecond, 20*time.Millisecond)
+		So(local.Of("unknown"), ShouldBeNil)
+	})
+}
+
+func TestOrigins(t *testing.T) {
+	Convey("A route is sent by callers if its requests begin beside most services", t, func() {
+		o := NewOrigins()
+		So(o.Seen("lookup", "a", 4), ShouldEqual, Unknown)
+		So(o.Seen("lookup", "b", 4), ShouldEqual, Unknown)
+		So(o.Seen("lookup", "a", 4), ShouldEqual, Unknown)
+		So(o.Seen("lookup", "c", 4), ShouldEqual, Callers)
+	})
+	Convey("and by targets if many begin beside few services", t, func() {
+		o := NewOrigins()
+		origin := Unknown
+		for i := range enoughRequests {
+			origin = o.Seen("fetch", []string{"a", "b"}[i%2], 4)
+		}
+		So(origin, ShouldEqual, Targets)
+	})
+}
--- a/loadshed/loadshed.go
+++ b/loadshed/loadshed.go
@@ -38,8 +38,16 @@
 	// fullPressure where it lets nothing but the most important in.
 	queuePressure = 1.1
 	fullPressure  = 2.0
+	// crisisPressure is where even the most important requests are held back: the
+	// queues of the targets are so long that they would be served too late.
+	crisisPressure = 3.0
 	// demandTime is the time over which the mix of priorities is averaged.
 	demandTime = 3 * time.Second
+	// negligible is the share of a service's largest cost below which refusing a
+	// request would spare the service next to nothing.
+	negligible = 0.2
+	// largestFade is how fast the largest cost is forgotten, a request.
+	largestFade = 0.995
 	// priorities is how many are told apart; less important ones count as the last.
 	priorities = 8
 )
@@ -60,6 +68,7 @@
 	heard    time.Time // of the pressure
 	fraction float64   // of the demand that is let in
 	ticked   time.Time
+	largest  float64             // cost of one request, seconds
 	asked    [priorities]float64 // slot seconds since the last tick, refused ones included
 	demand   [priorities]float64 // slots
 	share    [priorities]float64 // of the requests that are let in
@@ -134,7 +143,23 @@
 		rate = decline
 	}
 	s.fraction *= math.Exp(-rate * dt * excess)
-	s.fraction = min(max(s.fraction, minFraction), 1)
+	lowest := minFraction
+	if !known || pressure < crisisPressure {
+		lowest = max(lowest, s.importantShare())
+	}
+	s.fraction = min(max(s.fraction, lowest), 1)
+}
+
+// importantShare is the part of the demand that the most important requests are.
+func (s *service) importantShare() float64 {
+	total := 0.0
+	for _, d := range s.demand {
+		total += d
+	}
+	if total <= 0 {
+		return 0
+	}
+	return s.demand[0] / total
 }
 
 // deal divides the fraction among the priorities.
@@ -145,7 +170,12 @@
 	}
 	left := s.fraction * total
 	if known && pressure > queuePressure {
-		left *= max((fullPressure-pressure)/(fullPressure-queuePressure), 0) // the proportional part
+		cut := max((fullPressure-pressure)/(fullPressure-queuePressure), 0) // the proportional part
+		if pressure < crisisPressure {
+			left = max(left*cut, s.demand[0])
+		} else {
+			left *= cut
+		}
 	}
 	for p, d := range s.demand {
 		switch {
@@ -173,7 +203,12 @@
 	var decider *service
 	for _, c := range charges {
 		s := t.service(c.Service)
-		s.asked[priority] += c.Cost.Seconds()
+		cost := c.Cost.Seconds()
+		s.asked[priority] += cost
+		s.largest = max(s.largest*largestFade, cost)
+		if cost < negligible*s.largest {
+			continue
+		}
 		if share := s.share[priority]; share < verdict.Share {
 			decider = s
 			pressure, _ := t.Pressure(now, c.Service)
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/limiter"
 	"github.com/gypsumford/gypsumford/node/egress"
 	"github.com/gypsumford/gypsumford/node/ingress"
@@ -33,8 +34,8 @@
 	now     func() time.Time
 	pool    *egress.Pool
 	sender  *egress.Sender
-	observe func(route string, began bool, took time.Duration)
-	origin  func(route, caller string) bool
+	observe func(now time.Time, route string, began bool, took time.Duration)
+	origin  func(route, caller string) callgraph.Origin
 	views   func(route string) []link.ServiceView
 
 	mu struct {
@@ -119,10 +120,11 @@
 		return d.finish(refusal, c)
 	}
 	started := d.now()
-	d.observe(c.Route, true, 0)
+	d.observe(started, c.Route, true, 0)
 	reply := d.send(ctx, c, deadline)
-	reply.Duration = d.now().Sub(started)
-	d.observe(c.Route, false, reply.Duration)
+	ended := d.now()
+	reply.Duration = ended.Sub(started)
+	d.observe(ended, c.Route, false, reply.Duration)
 	d.mu.Lock()
 	d.mu.limiter.Done(reply.Duration)
 	d.wake()
@@ -133,7 +135,7 @@
 func (d *delivery) finish(reply *link.Reply, c *link.Call) *link.Reply {
 	reply.Load = d.load()
 	reply.Views = d.views(c.Route)
-	reply.FromCallers = d.origin(c.Route, c.Caller)
+	reply.Origin = d.origin(c.Route, c.Caller)
 	return reply
 }
 
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/gypsumford/gypsumford/balance"
+	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
 	"github.com/gypsumford/gypsumford/retrybudget"
@@ -44,7 +45,7 @@
 	route         *route.Route
 	service       string
 	deadline      time.Time
-	fromTarget    bool     // a call that the own target makes, as far as is known
+	origin        callgraph.Origin
 	sends         int      // to nodes
 	arrivals      int      // at targets
 	excluded      []string // targets that were tried
@@ -89,12 +90,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.service = t.mu.splitter.Next(r.route)
-	r.fromTarget = !t.mu.entries[r.route.Name]
-	if r.fromTarget {
-		t.mu.graph.Called(r.route.Name)
+	r.origin = t.mu.sentBy[r.route.Name]
+	if r.origin == callgraph.Targets {
+		t.mu.graph.Called(now, r.route.Name)
 		return nil // its parent runs already; a refusal would waste that work
 	}
 	t.mu.retries.Request(now, r.service)
+	if r.origin == callgraph.Unknown {
+		return nil
+	}
 	verdict := t.mu.shed.Admit(now, r.route.Priority, t.charges(r.route.Name))
 	if verdict.Admit {
 		return nil
@@ -227,7 +231,7 @@
 	t := d.tables
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.learn(now, r.route.Name, r.fromTarget, reply)
+	t.learn(now, r.route.Name, reply)
 	switch {
 	case reply.Outcome == link.Answered:
 		failed := reply.Status >= http.StatusInternalServerError
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -93,18 +94,17 @@
 
 // Reply is the end of a call.
 type Reply struct {
-	Outcome Outcome
-	Reason  Reason
-	Arrived bool // the call reached the target
-	Signed  bool // the answer is the target's own
-	Status  int
-	Header  []string // names and values by turns
-	Body    []byte
-	Load    Load
-	Views   []ServiceView
-	// FromCallers: callers send requests of this route, not only targets.
-	FromCallers bool
-	Duration    time.Duration // from the send to the target to its answer
+	Outcome  Outcome
+	Reason   Reason
+	Arrived  bool // the call reached the target
+	Signed   bool // the answer is the target's own
+	Status   int
+	Header   []string // names and values by turns
+	Body     []byte
+	Load     Load
+	Views    []ServiceView
+	Origin   callgraph.Origin // who sends requests of the route
+	Duration time.Duration    // from the send to the target to its answer
 }
 
 // Load is how full a target is.
--- a/node/log.go
+++ b/node/log.go
@@ -28,7 +28,7 @@
 	}
 	l.Info("request ended", "request", r.RequestID, "route", routeName, "service", r.service,
 		"status", status, "own", a == nil || a.Own, "why", why, "last", r.last.String(),
-		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "child", r.fromTarget)
+		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "origin", r.origin.String())
 }
 
 // shed logs a request that was refused at the entry.
--- a/node/stop.go
+++ b/node/stop.go
@@ -14,8 +14,8 @@
 	// cutOffTime is how long answers to requests that were cut off may take.
 	cutOffTime = 300 * time.Millisecond
 	stopStep   = 20 * time.Millisecond
-	// quietTime is how long no request must be under way before the node stops.
-	quietTime = 300 * time.Millisecond
+	// quietTime is how long no call must be under way before the node stops.
+	quietTime = 100 * time.Millisecond
 )
 
 // stopGracefully lets requests under way complete, as long as there is time.
@@ -30,14 +30,16 @@
 	record := n.mu.record
 	n.mu.Unlock()
 	n.announce(record)
-	n.waitIdle(started.Add(leavingTime), started.Add(n.settings.GraceTime-graceMargin))
+	time.Sleep(leavingTime)
+	// From here on no connection is taken, and each closes after its answer.
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.settings.GraceTime-graceMargin+cutOffTime))
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
 		n.log.Info("requests cut off", "requests", n.ingress.Active(), "error", err.Error())
 		_ = s.callers.Close() // nothing more can be done for them
 	}
-	_ = s.peers.Close() // calls of peers are counted in waitIdle
+	n.waitIdle(started.Add(n.settings.GraceTime - graceMargin))
+	_ = s.peers.Close()
 	for _, server := range s.control {
 		_ = server.Close() // nothing of theirs lasts
 	}
@@ -45,17 +47,16 @@
 	n.log.Info("node stopped", "after", n.now().Sub(started).Seconds())
 }
 
-// waitIdle returns when nothing has been under way for quietTime, not before
-// earliest, or at latest.
-func (n *Node) waitIdle(earliest, latest time.Time) {
+// waitIdle returns when no call has been under way for quietTime, or at latest.
+func (n *Node) waitIdle(latest time.Time) {
 	idle := time.Duration(0)
 	for n.now().Before(latest) {
 		time.Sleep(stopStep)
 		idle += stopStep
-		if n.ingress.Active() > 0 || n.delivery.active() > 0 {
+		if n.delivery.active() > 0 {
 			idle = 0
 		}
-		if idle >= quietTime && n.now().After(earliest) {
+		if idle >= quietTime {
 			return
 		}
 	}
--- a/node/tables.go
+++ b/node/tables.go
@@ -33,8 +33,8 @@
 		shed     *loadshed.Table
 		splitter *route.Splitter
 		origins  *callgraph.Origins
-		costs    map[string]callgraph.Cost // of routes, as answers told
-		entries  map[string]bool           // routes that callers use, as answers told
+		costs    map[string]callgraph.Cost   // of routes, as answers told
+		sentBy   map[string]callgraph.Origin // who sends requests of routes, as answers told
 	}
 	inForce atomic.Pointer[route.Configuration]
 }
@@ -49,31 +49,33 @@
 	t.mu.splitter = route.NewSplitter(start)
 	t.mu.origins = callgraph.NewOrigins()
 	t.mu.costs = map[string]callgraph.Cost{}
-	t.mu.entries = map[string]bool{}
+	t.mu.sentBy = map[string]callgraph.Origin{}
 	return t
 }
 
-// observeOrigin notes where a call for the own target began, and reports whether
-// callers use its route.
-func (t *tables) observeOrigin(routeName, caller string) bool {
+// observeOrigin notes where a call for the own target began, and returns who
+// sends calls of its route.
+func (t *tables) observeOrigin(routeName, caller string) callgraph.Origin {
 	services := 0
 	if c := t.inForce.Load(); c != nil {
 		services = len(c.Services)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.mu.origins.Seen(routeName, caller)
-	return services > 0 && t.mu.origins.FromCallers(routeName, services)
+	if services == 0 {
+		return callgraph.Unknown
+	}
+	return t.mu.origins.Seen(routeName, caller, services)
 }
 
 // observeRun notes the beginning or end of a run on the own target.
-func (t *tables) observeRun(routeName string, began bool, took time.Duration) {
+func (t *tables) observeRun(now time.Time, routeName string, began bool, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if began {
-		t.mu.graph.Began(routeName)
+		t.mu.graph.Began(now, routeName)
 	} else {
-		t.mu.graph.Ended(routeName, took)
+		t.mu.graph.Ended(now, routeName, took)
 	}
 }
 
@@ -106,9 +108,9 @@
 
 // learn takes in what a reply tells of the services behind the route. The lock
 // is held.
-func (t *tables) learn(now time.Time, routeName string, fromTarget bool, reply *link.Reply) {
-	if reply.FromCallers {
-		t.mu.entries[routeName] = true
+func (t *tables) learn(now time.Time, routeName string, reply *link.Reply) {
+	if reply.Origin != callgraph.Unknown && t.mu.sentBy[routeName] != callgraph.Callers {
+		t.mu.sentBy[routeName] = reply.Origin
 	}
 	if len(reply.Views) == 0 {
 		return
@@ -121,7 +123,7 @@
 		}
 	}
 	t.mu.costs[routeName] = cost
-	if fromTarget {
+	if t.mu.sentBy[routeName] == callgraph.Targets {
 		t.mu.graph.Learn(routeName, cost)
 	}
 }
