--- a/balance/table.go
+++ b/balance/table.go
@@ -15,8 +15,13 @@
 
 	remoteFactor   = 2.0 // how much better a target in another failure domain must be
 	failurePenalty = 8.0 // score of a target that always fails, over that of a sound one
+	refusalGain    = 0.1 // weight of one answer in a target's share of refusals
+	refusalPenalty = 12.0 // score of a target that always refuses, over that of one that never does
 	coldFactor     = 2.0 // expected slowness of a target that has just started
 
+	standsOutFactor = 2.0  // over the failures of the others
+	standsOutMargin = 0.05 // share of requests
+
 	freeShare    = 0.6 // share of slots in use from which answers slow down
 	fillingSlope = 1.5 // slowdown per slot share beyond freeShare
 	queueSlope   = 4.0 // slowdown per slot share beyond all slots
@@ -56,6 +61,7 @@
 	inFlight   int
 	pace       float64 // time taken over the mean of the route
 	failures   float64 // share of requests that fail at the target
+	refusals   float64 // share of requests that the target turns away
 	load       Load
 	loadAt     time.Time
 	seen       time.Time
@@ -110,6 +116,7 @@
 	pace := 1 + (known.pace-1)*fade
 	score := pace * fullness(now, known, r.Target.Slots)
 	score *= 1 + (failurePenalty-1)*known.failures*fade
+	score *= 1 + (refusalPenalty-1)*known.refusals*fade
 	if now.Before(known.coldUntil) {
 		score *= coldFactor
 	}
@@ -157,6 +164,7 @@
 		outcome = 1
 	}
 	known.failures += failureGain * (outcome - known.failures)
+	known.refusals -= refusalGain * known.refusals
 	if failed {
 		return
 	}
@@ -171,9 +179,14 @@
 	t.means[route] = mean + meanGain*(took.Seconds()-mean)
 }
 
-// Refused notes that the target turned a request away.
-func (t *Table) Refused(now time.Time, id string, load Load) {
-	t.ended(now, t.target(id), load)
+// Refused notes that a request was turned away: by the target itself, or by its
+// node before it got there.
+func (t *Table) Refused(now time.Time, id string, byTarget bool, load Load) {
+	known := t.target(id)
+	t.ended(now, known, load)
+	if byTarget {
+		known.refusals += refusalGain * (1 - known.refusals)
+	}
 }
 
 // Lost notes that a request got no answer, or didn't reach the target at all.
@@ -199,6 +212,23 @@
 	}
 }
 
+// StandsOut reports whether the target fails clearly more often than the other
+// candidates do on average: then it is the target that is at fault rather than
+// something that all of them depend on.
+func (t *Table) StandsOut(id string, candidates []*roster.Record) bool {
+	others, count := 0.0, 0
+	for _, r := range candidates {
+		if known := t.targets[r.Target.ID]; known != nil && r.Target.ID != id {
+			others += known.failures
+			count++
+		}
+	}
+	if count == 0 {
+		return false
+	}
+	return t.target(id).failures > standsOutFactor*others/float64(count)+standsOutMargin
+}
+
 // Keep forgets the targets that are not listed and have no request under way.
 func (t *Table) Keep(ids map[string]bool) {
 	for id, known := range t.targets {
--- a/callgraph/callgraph.go
+++ b/callgraph/callgraph.go
@@ -41,8 +41,14 @@
 	maxCost  = 30 * time.Second
 )
 
-// Cost is the time that one request takes of the targets of each service.
-type Cost map[string]time.Duration
+// Part is what one request of a route costs one service.
+type Part struct {
+	Time     time.Duration // of the service's targets
+	Requests float64       // that arrive there
+}
+
+// Cost is what one request of a route costs, by service.
+type Cost map[string]Part
 
 // Services returns the services of the cost, sorted.
 func (c Cost) Services() []string { return slices.Sorted(maps.Keys(c)) }
@@ -192,11 +198,12 @@
 		c.cost = maps.Clone(told)
 		return
 	}
-	for service, cost := range told {
+	for service, part := range told {
 		if before, ok := c.cost[service]; ok {
-			cost = before + time.Duration(costGain*float64(cost-before))
+			part.Time = before.Time + time.Duration(costGain*float64(part.Time-before.Time))
+			part.Requests = before.Requests + costGain*(part.Requests-before.Requests)
 		}
-		c.cost[service] = cost
+		c.cost[service] = part
 	}
 	for service := range c.cost {
 		if _, ok := told[service]; !ok {
@@ -212,14 +219,17 @@
 	if !ok || l.routes[i].ended == 0 {
 		return nil
 	}
-	cost := Cost{l.service: seconds(l.routes[i].seconds)}
+	cost := Cost{l.service: Part{Time: seconds(l.routes[i].seconds), Requests: 1}}
 	for name, c := range l.called {
 		calls := l.Calls(route, name)
 		if calls < minCalls {
 			continue
 		}
 		for service, each := range c.cost {
-			cost[service] = min(cost[service]+time.Duration(calls*float64(each)), maxCost)
+			part := cost[service]
+			part.Time = min(part.Time+time.Duration(calls*float64(each.Time)), maxCost)
+			part.Requests = min(part.Requests+calls*each.Requests, maxCalls)
+			cost[service] = part
 		}
 	}
 	return cost
--- a/callgraph/callgraph_test.go
+++ b/callgraph/callgraph_test.go
@@ -64,10 +64,11 @@
 	Convey("The cost of a route is its own time and that of its calls", t, func() {
 		local := NewLocal("archive")
 		play(local, 1, 20, 5, 4, 15*time.Second)
-		local.Learn("called", Cost{"printer": 30 * time.Millisecond})
+		local.Learn("called", Cost{"printer": {Time: 30 * time.Millisecond, Requests: 1}})
 		cost := local.Of("caller")
-		So(cost["archive"], ShouldAlmostEqual, 135*time.Millisecond, 10*time.Millisecond)
-		So(cost["printer"], ShouldAlmostEqual, 120*time.Millisecond, 20*time.Millisecond)
+		So(cost["archive"].Time, ShouldAlmostEqual, 135*time.Millisecond, 10*time.Millisecond)
+		So(cost["printer"].Time, ShouldAlmostEqual, 120*time.Millisecond, 20*time.Millisecond)
+		So(cost["printer"].Requests, ShouldAlmostEqual, 4, 0.6)
 		So(local.Of("unknown"), ShouldBeNil)
 	})
 }
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -47,7 +47,8 @@
 	deadline      time.Time
 	origin        callgraph.Origin
 	sends         int      // to nodes
-	arrivals      int      // at targets
+	arrivals      int      // at targets, those turned away included
+	runs          int      // at targets, as far as is known
 	excluded      []string // targets that were tried
 	last          link.Reason
 	lastReply     *link.Reply // an answer that is kept while another target is tried
@@ -90,12 +91,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.service = t.mu.splitter.Next(r.route)
+	t.mu.retries.Request(now, r.service)
 	r.origin = t.mu.sentBy[r.route.Name]
 	if r.origin == callgraph.Targets {
 		t.mu.graph.Called(now, r.route.Name)
 		return nil // its parent runs already; a refusal would waste that work
 	}
-	t.mu.retries.Request(now, r.service)
 	if r.origin == callgraph.Unknown {
 		return nil
 	}
@@ -166,9 +167,19 @@
 	return choice, true
 }
 
-// repeatCharges is what one more send of the request costs. The lock is held.
+// repeatCharges is what one more send of the request costs. A request that was
+// turned away has made no calls; one that ran makes them again. The lock is held.
 func (d *dispatcher) repeatCharges(r *request) []retrybudget.Charge {
-	return []retrybudget.Charge{{Service: r.service, Count: 1}}
+	charges := []retrybudget.Charge{{Service: r.service, Count: 1}}
+	if r.runs == 0 {
+		return charges
+	}
+	for service, part := range d.tables.mu.costs[r.route.Name] {
+		if service != r.service {
+			charges = append(charges, retrybudget.Charge{Service: service, Count: part.Requests})
+		}
+	}
+	return charges
 }
 
 func (d *dispatcher) sendTo(ctx context.Context, r *request, choice balance.Choice) *link.Reply {
@@ -204,10 +215,14 @@
 	if reply.Arrived {
 		r.arrivals++
 	}
-	mayRepeat := r.arrivals < r.route.MaxAttempts && ctx.Err() == nil
+	if reply.Outcome != link.NotRun {
+		r.runs++
+	}
+	mayRepeat := r.runs < r.route.MaxAttempts && ctx.Err() == nil
 	switch reply.Outcome {
 	case link.Answered:
-		if reply.Status < http.StatusInternalServerError || !r.route.Idempotent || !mayRepeat {
+		if reply.Status < http.StatusInternalServerError || !r.route.Idempotent || !mayRepeat ||
+			!d.tables.isOwnFault(r.route.Name, r.service, choice.Record.Target.ID) {
 			return d.end(r, answerOf(reply), "answered")
 		}
 		r.lastReply = reply
@@ -243,7 +258,7 @@
 	case reply.Reason == link.ReasonBroken:
 		t.mu.balance.Lost(now, id, true)
 	default:
-		t.mu.balance.Refused(now, id, load)
+		t.mu.balance.Refused(now, id, reply.Arrived, load)
 	}
 }
 
@@ -254,12 +269,15 @@
 // giveUp returns the node's own answer, or an earlier one of a target.
 func (d *dispatcher) giveUp(ctx context.Context, r *request, why string) *ingress.Answer {
 	late := !d.now().Before(r.deadline)
+	if r.runs == 0 && !late {
+		d.tables.refusedEverywhere(d.now(), r.service)
+	}
 	switch {
 	case ctx.Err() != nil && !late:
 		return d.end(r, nil, "caller-left")
 	case r.lastReply != nil:
 		return d.end(r, answerOf(r.lastReply), why)
-	case r.arrivals == 0 || r.last == link.ReasonRefused && !r.route.Idempotent:
+	case r.runs == 0:
 		return d.end(r, refusal(d.comeBack(r, d.now())), why)
 	case late:
 		return d.end(r, &ingress.Answer{Status: http.StatusGatewayTimeout, Own: true}, why)
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -89,6 +89,7 @@
 type ServiceView struct {
 	Service  string
 	Cost     time.Duration // time of its targets that one request of the route takes
+	Requests float32       // that arrive there for one request of the route
 	Pressure uint8         // see package loadshed
 }
 
--- a/node/tables.go
+++ b/node/tables.go
@@ -91,7 +91,8 @@
 			pressure = pressureOf(own)
 		}
 		views = append(views, link.ServiceView{
-			Service: name, Cost: cost[name].Round(100 * time.Microsecond), Pressure: encodePressure(pressure),
+			Service: name, Cost: cost[name].Time.Round(100 * time.Microsecond),
+			Requests: float32(cost[name].Requests), Pressure: encodePressure(pressure),
 		})
 	}
 	return views
@@ -117,7 +118,7 @@
 	}
 	cost := make(callgraph.Cost, len(reply.Views))
 	for _, view := range reply.Views {
-		cost[view.Service] = view.Cost
+		cost[view.Service] = callgraph.Part{Time: view.Cost, Requests: float64(view.Requests)}
 		if view.Pressure > 0 {
 			t.mu.shed.Observe(now, view.Service, float64(view.Pressure)/pressureScale)
 		}
@@ -128,12 +129,35 @@
 	}
 }
 
+// refusedPressure stands for the pressure of a service whose targets turned a
+// request away.
+const refusedPressure = 2.5
+
+// refusedEverywhere notes that no target of the service took a request.
+func (t *tables) refusedEverywhere(now time.Time, service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mu.shed.Observe(now, service, refusedPressure)
+}
+
+// isOwnFault reports whether a failure that the target answered is probably its
+// own. A request of a route that makes calls mostly fails for one of these, and
+// would again elsewhere, with all its calls.
+func (t *tables) isOwnFault(routeName, service, target string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.mu.costs[routeName]) <= 1 {
+		return true
+	}
+	return t.mu.balance.StandsOut(target, t.mu.roster.Serving(service))
+}
+
 // charges returns what a request of the route costs. The lock is held.
 func (t *tables) charges(routeName string) []loadshed.Charge {
 	cost := t.mu.costs[routeName]
 	charges := make([]loadshed.Charge, 0, len(cost))
 	for service, each := range cost {
-		charges = append(charges, loadshed.Charge{Service: service, Cost: each})
+		charges = append(charges, loadshed.Charge{Service: service, Cost: each.Time})
 	}
 	return charges
 }
