Name repeated strings of calls by symbols of their connection

Strings that a connection repeats now become symbols, the target's load and the echoed request id stay with the node.

--- a/node/delivery.go
+++ b/node/delivery.go
@@ -34,6 +34,7 @@
 	now     func() time.Time
 	pool    *egress.Pool
 	sender  *egress.Sender
+	dialect egress.Dialect
 	observe func(now time.Time, route string, began bool, took time.Duration)
 	origin  func(route, caller string) callgraph.Origin
 	views   func(route string) []link.ServiceView
@@ -50,7 +51,7 @@
 
 func newDelivery(s *Settings, dialect egress.Dialect, now func() time.Time) *delivery {
 	pool := egress.NewPool(s.TargetAddress, now)
-	d := &delivery{now: now, pool: pool, sender: egress.NewSender(pool, dialect)}
+	d := &delivery{now: now, pool: pool, sender: egress.NewSender(pool, dialect), dialect: dialect}
 	d.mu.drain = s.DrainTime
 	d.mu.own = roster.NewOwn(s.HeartbeatInterval)
 	d.mu.limiter = limiter.New(0)
@@ -240,7 +241,7 @@
 	case err == nil:
 		return &link.Reply{
 			Outcome: link.Answered, Arrived: true, Status: response.Status, Signed: response.Answer.Signed,
-			Header: ingress.AnswerFields(response.Header), Body: response.Body,
+			Header: ingress.AnswerFields(response.Header, d.dialect.IsForNode), Body: response.Body,
 		}
 	case errors.Is(err, egress.ErrUnreachable):
 		return notRun(link.ReasonUnreachable)
--- a/node/egress/dialect.go
+++ b/node/egress/dialect.go
@@ -33,6 +33,9 @@
 type Dialect interface {
 	// RequestFields returns names and values, by turns, that a target expects.
 	RequestFields(r *Request) []string
+	// IsForNode reports whether a field of an answer is of no use to the caller.
+	// The name is in canonical form.
+	IsForNode(name string) bool
 	// ReadAnswer reads the fields of an answer.
 	ReadAnswer(status int, header http.Header) Answer
 }
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -30,7 +30,7 @@
 	ReadRequest(header http.Header) (Fields, error)
 	// SetsField reports whether the node sets the field of a request itself.
 	SetsField(name string) bool
-	// WriteRequestID names the request in an answer of the node's own.
+	// WriteRequestID names the request in an answer.
 	WriteRequestID(header http.Header, id string)
 }
 
@@ -174,12 +174,13 @@
 	return list
 }
 
-// AnswerFields returns the fields of a target's answer that go on to the caller.
-func AnswerFields(header http.Header) []string {
+// AnswerFields returns the fields of a target's answer that go on to the caller,
+// without those that skip names.
+func AnswerFields(header http.Header, skip func(name string) bool) []string {
 	list := make([]string, 0, 2*len(header))
 	dropped := namedByConnection(header)
 	for name, values := range header {
-		if connectionFields[name] || dropped[name] {
+		if connectionFields[name] || dropped[name] || skip(name) {
 			continue
 		}
 		for _, value := range values {
@@ -209,9 +210,9 @@
 	header["Content-Type"] = nil // none is guessed
 	if a.Own {
 		header["Content-Type"] = []string{"text/plain; charset=utf-8"}
-		if id != "" {
-			s.dialect.WriteRequestID(header, id)
-		}
+	}
+	if id != "" {
+		s.dialect.WriteRequestID(header, id)
 	}
 	for i := 0; i+1 < len(a.Header); i += 2 {
 		header[a.Header[i]] = append(header[a.Header[i]], a.Header[i+1])
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -49,9 +49,13 @@
 	PeerState(s *State)
 }
 
+// outgoing is a frame that waits to be written. Calls and replies take their
+// wire form when they are.
 type outgoing struct {
-	frame frame
-	call  *pending // of a call, nil otherwise
+	frame   frame
+	call    *Call
+	reply   *Reply
+	pending *pending // of a call
 }
 
 // pending is a call that waits for its reply.
@@ -136,12 +140,13 @@
 func (c *conn) write() {
 	buffer := bufio.NewWriterSize(c.socket, bufferBytes)
 	encoder := gob.NewEncoder(buffer)
+	speaker := newSpeaker()
 	for {
 		select {
 		case <-c.closed:
 			return
 		case o := <-c.queue:
-			if err := c.writeBatch(encoder, buffer, o); err != nil {
+			if err := c.writeBatch(encoder, speaker, buffer, o); err != nil {
 				c.close()
 				return
 			}
@@ -150,11 +155,16 @@
 }
 
 // writeBatch writes the frame and all that wait behind it with one flush.
-func (c *conn) writeBatch(encoder *gob.Encoder, buffer *bufio.Writer, o outgoing) error {
+func (c *conn) writeBatch(encoder *gob.Encoder, speaker *speaker, buffer *bufio.Writer, o outgoing) error {
 	for {
-		if o.call != nil {
-			o.call.written.Store(true)
+		switch {
+		case o.call != nil:
+			o.pending.written.Store(true)
+			o.frame.Call = speaker.call(o.call)
+		case o.reply != nil:
+			o.frame.Reply = speaker.reply(o.reply)
 		}
+		o.frame.Symbols = speaker.take()
 		o.frame.Version = c.node.Version()
 		if err := encoder.Encode(&o.frame); err != nil {
 			return err
@@ -168,6 +178,7 @@
 }
 
 func (c *conn) read() {
+	var listener listener
 	decoder := gob.NewDecoder(bufio.NewReaderSize(c.socket, bufferBytes))
 	for {
 		var f frame
@@ -175,19 +186,24 @@
 			return
 		}
 		c.heard.Store(true)
-		c.handle(&f)
+		if !listener.learn(f.Symbols) {
+			return
+		}
+		c.handle(&f, &listener)
 	}
 }
 
-func (c *conn) handle(f *frame) {
+func (c *conn) handle(f *frame, l *listener) {
 	if v := uint64(f.Version); c.version.Swap(v) != v || f.Version > c.node.Version() {
 		c.node.PeerVersion(f.Version, func() { c.send(outgoing{frame: frame{Pull: true}}) })
 	}
 	switch {
 	case f.Call != nil:
-		c.serve(f.ID, f.Call)
+		if call := l.call(f.Call); call != nil {
+			c.serve(f.ID, call)
+		}
 	case f.Reply != nil:
-		c.finish(f.ID, f.Reply)
+		c.finish(f.ID, l.reply(f.Reply))
 	case f.Cancel:
 		c.cancel(f.ID)
 	case f.Ping:
@@ -218,7 +234,7 @@
 		delete(c.mu.serving, id)
 		c.mu.Unlock()
 		cancel()
-		c.send(outgoing{frame: frame{ID: id, Reply: reply}})
+		c.send(outgoing{frame: frame{ID: id}, reply: reply})
 	}()
 }
 
@@ -255,7 +271,7 @@
 	c.mu.pending[id] = p
 	c.mu.idle = 0
 	c.mu.Unlock()
-	if !c.send(outgoing{frame: frame{ID: id, Call: call}, call: p}) {
+	if !c.send(outgoing{frame: frame{ID: id}, call: call, pending: p}) {
 		c.mu.Lock()
 		delete(c.mu.pending, id)
 		c.mu.Unlock()
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -89,7 +89,7 @@
 type ServiceView struct {
 	Service  string
 	Cost     time.Duration // time of its targets that one request of the route takes
-	Requests float32       // that arrive there for one request of the route
+	Requests float64       // that arrive there for one request of the route
 	Pressure uint8         // see package loadshed
 }
 
@@ -123,18 +123,3 @@
 	Configuration *route.Configuration // nil if the node has none
 	Records       []roster.Record
 }
-
-// frame is one message on the connection. One of its fields is set, besides ID
-// and Version.
-type frame struct {
-	ID      uint64
-	Version route.Version // of the sender's configuration
-	Call    *Call
-	Reply   *Reply
-	Cancel  bool
-	Ping    bool
-	Pong    bool
-	Hello   *Hello
-	Pull    bool
-	State   *State
-}
--- /dev/null
+++ b/node/link/wire.go
@@ -0,0 +1,116 @@
+package link
+
+import (
+	"time"
+
+	"github.com/gypsumford/gypsumford/callgraph"
+	"github.com/gypsumford/gypsumford/route"
+)
+
+// Units of the wire.
+const (
+	timeLeftUnit = time.Millisecond
+	costUnit     = 100 * time.Microsecond
+	requestsUnit = 0.01
+)
+
+// frame is one message on the connection. One of its fields is set, besides ID,
+// Version and Symbols.
+type frame struct {
+	ID      uint64
+	Version route.Version // of the sender's configuration
+	Symbols []string      // that this frame and later ones use
+	Call    *wireCall
+	Reply   *wireReply
+	Cancel  bool
+	Ping    bool
+	Pong    bool
+	Hello   *Hello
+	Pull    bool
+	State   *State
+}
+
+type wireCall struct {
+	Envelope   text
+	RequestID  string
+	URI        string
+	Header     []text
+	Body       []byte
+	TimeLeft   uint32 // timeLeftUnit
+	Priority   int
+	Idempotent bool
+	Repeat     bool
+}
+
+type wireReply struct {
+	Outcome  Outcome
+	Reason   Reason
+	Arrived  bool
+	Signed   bool
+	Status   int
+	Header   []text
+	Body     []byte
+	Load     Load
+	Views    []wireView
+	Origin   callgraph.Origin
+	Duration uint32 // costUnit
+}
+
+type wireView struct {
+	Service  text
+	Cost     uint32 // costUnit
+	Requests uint32 // requestsUnit
+	Pressure uint8
+}
+
+func (s *speaker) call(c *Call) *wireCall {
+	return &wireCall{
+		Envelope: s.text(envelope(c)), RequestID: c.RequestID, URI: c.URI,
+		Header: s.fields(sortFields(c.Header)), Body: c.Body,
+		TimeLeft: uint32(max(c.TimeLeft/timeLeftUnit, 0)), Priority: c.Priority,
+		Idempotent: c.Idempotent, Repeat: c.Repeat,
+	}
+}
+
+// call returns nil for a call that can't be read.
+func (l *listener) call(w *wireCall) *Call {
+	c := &Call{
+		RequestID: w.RequestID, URI: w.URI, Header: l.fields(w.Header), Body: w.Body,
+		TimeLeft: time.Duration(w.TimeLeft) * timeLeftUnit, Priority: w.Priority,
+		Idempotent: w.Idempotent, Repeat: w.Repeat,
+	}
+	if !c.open(l.text(w.Envelope)) {
+		return nil
+	}
+	return c
+}
+
+func (s *speaker) reply(r *Reply) *wireReply {
+	w := &wireReply{
+		Outcome: r.Outcome, Reason: r.Reason, Arrived: r.Arrived, Signed: r.Signed, Status: r.Status,
+		Header: s.fields(sortFields(r.Header)), Body: r.Body, Load: r.Load,
+		Origin: r.Origin, Duration: uint32(max(r.Duration/costUnit, 0)),
+	}
+	for _, v := range r.Views {
+		w.Views = append(w.Views, wireView{
+			Service: s.text(v.Service), Cost: uint32(max(v.Cost/costUnit, 0)),
+			Requests: uint32(max(v.Requests/requestsUnit, 0)), Pressure: v.Pressure,
+		})
+	}
+	return w
+}
+
+func (l *listener) reply(w *wireReply) *Reply {
+	r := &Reply{
+		Outcome: w.Outcome, Reason: w.Reason, Arrived: w.Arrived, Signed: w.Signed, Status: w.Status,
+		Header: l.fields(w.Header), Body: w.Body, Load: w.Load,
+		Origin: w.Origin, Duration: time.Duration(w.Duration) * costUnit,
+	}
+	for _, v := range w.Views {
+		r.Views = append(r.Views, ServiceView{
+			Service: l.text(v.Service), Cost: time.Duration(v.Cost) * costUnit,
+			Requests: float64(v.Requests) * requestsUnit, Pressure: v.Pressure,
+		})
+	}
+	return r
+}
--- a/node/tables.go
+++ b/node/tables.go
@@ -92,7 +92,7 @@
 		}
 		views = append(views, link.ServiceView{
 			Service: name, Cost: cost[name].Time.Round(100 * time.Microsecond),
-			Requests: float32(cost[name].Requests), Pressure: encodePressure(pressure),
+			Requests: cost[name].Requests, Pressure: encodePressure(pressure),
 		})
 	}
 	return views
@@ -118,7 +118,7 @@
 	}
 	cost := make(callgraph.Cost, len(reply.Views))
 	for _, view := range reply.Views {
-		cost[view.Service] = callgraph.Part{Time: view.Cost, Requests: float64(view.Requests)}
+		cost[view.Service] = callgraph.Part{Time: view.Cost, Requests: view.Requests}
 		if view.Pressure > 0 {
 			t.mu.shed.Observe(now, view.Service, float64(view.Pressure)/pressureScale)
 		}
