--- a/loadshed/loadshed.go
+++ b/loadshed/loadshed.go
@@ -24,20 +24,20 @@
 	TickInterval = 100 * time.Millisecond
 	// targetPressure is the share of the usable slots that is to be in use: below
 	// it time is left idle, above it queues grow.
-	targetPressure = 0.92
+	targetPressure = 1.05
 	pressureTime   = 150 * time.Millisecond // in which the pressure follows the answers
 	pressureAge    = 1500 * time.Millisecond
 	// growth and decline are the rates, a second, at which the fraction follows
 	// the logarithm of the pressure over its target. A request works for about
 	// half a second, so the effect of a change shows that late; faster rates
 	// would overshoot.
-	growth      = 1.0
-	decline     = 2.0
+	growth      = 1.2
+	decline     = 1.5
 	minFraction = 0.02
 	// queuePressure is where the proportional part begins to cut, and
 	// fullPressure where it lets nothing but the most important in.
-	queuePressure = 1.1
-	fullPressure  = 2.0
+	queuePressure = 1.25
+	fullPressure  = 2.4
 	// crisisPressure is where even the most important requests are held back: the
 	// queues of the targets are so long that they would be served too late.
 	crisisPressure = 3.0
