--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,137 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func candidates(domains ...string) []*roster.Record {
+	var list []*roster.Record
+	for i, domain := range domains {
+		id := fmt.Sprint("t", i)
+		list = append(list, &roster.Record{
+			Instance: "n" + id, Domain: domain,
+			Target: roster.Target{ID: id, Service: "s", Slots: 10, State: roster.Ready},
+		})
+	}
+	return list
+}
+
+// shares sends requests one after the other and returns the share of each target
+// in the last half. answer tells how a target answers.
+func shares(table *Table, list []*roster.Record, requests int, answer func(id string) (took time.Duration, status string)) map[string]float64 {
+	counts := map[string]float64{}
+	now := start
+	for i := range requests {
+		now = now.Add(5 * time.Millisecond)
+		choice, _ := table.Choose(now, list, nil)
+		id := choice.Record.Target.ID
+		table.Sent(now, id)
+		took, status := answer(id)
+		switch status {
+		case "refused":
+			table.Refused(now.Add(took), id, true, Load{})
+		case "unreachable":
+			table.Lost(now.Add(took), id, false)
+		default:
+			table.Answered(now.Add(took), id, "r", took, Load{Slots: 10}, status == "failed")
+		}
+		if i >= requests/2 {
+			counts[id] += 2 / float64(requests)
+		}
+	}
+	return counts
+}
+
+func TestChoice(t *testing.T) {
+	const usual = 20 * time.Millisecond
+	sound := func(string) (time.Duration, string) { return usual, "" }
+	Convey("The own failure domain is used while it has room", t, func() {
+		got := shares(NewTable("a"), candidates("a", "b", "b"), 200, sound)
+		So(got["t0"], ShouldBeGreaterThan, 0.95)
+	})
+	Convey("A full target of the own failure domain is left for another one", t, func() {
+		table, list := NewTable("a"), candidates("a", "b")
+		for range 14 {
+			table.Sent(start, "t0")
+		}
+		choice, _ := table.Choose(start, list, nil)
+		So(choice.Record.Target.ID, ShouldEqual, "t1")
+	})
+	Convey("A target that turns slow loses its share", t, func() {
+		got := shares(NewTable("a"), candidates("a", "a"), 300, func(id string) (time.Duration, string) {
+			if id == "t0" {
+				return 10 * usual, ""
+			}
+			return usual, ""
+		})
+		So(got["t0"], ShouldBeLessThan, 0.1)
+	})
+	Convey("A target that fails part of its requests, quickly, loses its share", t, func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		got := shares(NewTable("a"), candidates("a", "a", "a"), 600, func(id string) (time.Duration, string) {
+			if id == "t0" && random.Float64() < 0.5 {
+				return usual / 10, "failed"
+			}
+			return usual, ""
+		})
+		So(got["t0"], ShouldBeLessThan, 0.15)
+	})
+	Convey("A target that turns half of its requests away loses its share, even in the own failure domain", t, func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		got := shares(NewTable("a"), candidates("a", "b", "b"), 600, func(id string) (time.Duration, string) {
+			if id == "t0" && random.Float64() < 0.55 {
+				return 0, "refused"
+			}
+			return usual, ""
+		})
+		So(got["t0"], ShouldBeLessThan, 0.15)
+	})
+	Convey("An unreachable target is tried again only after a while", t, func() {
+		got := shares(NewTable("a"), candidates("a", "b"), 400, func(id string) (time.Duration, string) {
+			if id == "t0" {
+				return 0, "unreachable"
+			}
+			return usual, ""
+		})
+		So(got["t0"], ShouldBeLessThan, 0.02)
+	})
+	Convey("Targets that were tried are left out", t, func() {
+		list := candidates("a", "a")
+		choice, ok := NewTable("a").Choose(start, list, []string{"t0"})
+		So(ok, ShouldBeTrue)
+		So(choice.Record.Target.ID, ShouldEqual, "t1")
+		_, ok = NewTable("a").Choose(start, list, []string{"t0", "t1"})
+		So(ok, ShouldBeFalse)
+	})
+}
+
+func TestStandsOut(t *testing.T) {
+	play := func(failing ...string) *Table {
+		table := NewTable("a")
+		for i := range 60 {
+			id := fmt.Sprint("t", i%3)
+			failed := false
+			for _, f := range failing {
+				failed = failed || f == id && i%2 == 0
+			}
+			table.Sent(start, id)
+			table.Answered(start, id, "r", time.Millisecond, Load{}, failed)
+		}
+		return table
+	}
+	Convey("A target that fails alone is at fault", t, func() {
+		So(play("t0").StandsOut("t0", candidates("a", "a", "a")), ShouldBeTrue)
+	})
+	Convey("Targets that fail alike share the cause", t, func() {
+		So(play("t0", "t1", "t2").StandsOut("t0", candidates("a", "a", "a")), ShouldBeFalse)
+	})
+}
--- a/balance/table.go
+++ b/balance/table.go
@@ -17,6 +17,7 @@
 	failurePenalty = 8.0 // score of a target that always fails, over that of a sound one
 	refusalGain    = 0.1 // weight of one answer in a target's share of refusals
 	refusalPenalty = 12.0 // score of a target that always refuses, over that of one that never does
+	untriedFactor  = 0.9 // makes a target whose pace is unknown be tried
 	coldFactor     = 2.0 // expected slowness of a target that has just started
 
 	standsOutFactor = 2.0  // over the failures of the others
@@ -67,6 +68,7 @@
 	seen       time.Time
 	avoidUntil time.Time
 	avoid      time.Duration
+	answers    int
 	coldUntil  time.Time
 	coldKnown  bool
 }
@@ -120,6 +122,9 @@
 	if now.Before(known.coldUntil) {
 		score *= coldFactor
 	}
+	if known.answers == 0 {
+		score *= untriedFactor
+	}
 	if r.Domain != t.domain {
 		score *= remoteFactor
 	}
@@ -168,6 +173,7 @@
 	if failed {
 		return
 	}
+	known.answers++
 	mean, ok := t.means[route]
 	if !ok || mean <= 0 {
 		mean = took.Seconds()
--- /dev/null
+++ b/internal/boundary/platform_test.go
@@ -0,0 +1,89 @@
+package boundary
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestPlatformNamesStayInTheAdapter reads all Go files and reports names of the
+// platform outside its directory.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	root := filepath.Join("..", "..")
+	checked := 0
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		relative, _ := filepath.Rel(root, path)
+		first, _, _ := strings.Cut(filepath.ToSlash(relative), "/")
+		if entry.IsDir() {
+			if first == PlatformDirectory || first == "target" || first == ".git" || relative == filepath.Join("internal", "boundary") {
+				return filepath.SkipDir
+			}
+			return nil
+		}
+		if !strings.HasSuffix(path, ".go") {
+			return nil
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		checked++
+		for _, found := range platformNames(string(source)) {
+			t.Errorf("%s uses %q", relative, found)
+		}
+		return nil
+	})
+	if err != nil || checked == 0 {
+		t.Fatalf("%d files read: %v", checked, err)
+	}
+}
+
+func TestPlatformNamesAreFound(t *testing.T) {
+	if len(platformNames(`h.Get("Gypsumford-Deadline-Ms")`)) != 1 {
+		t.Error("a field of the platform is not found")
+	}
+}
+
+func platformNames(source string) []string {
+	var found []string
+	for _, name := range PlatformNames {
+		if strings.Contains(source, name) {
+			found = append(found, name)
+		}
+	}
+	return found
+}
+
+// TestAdapterDecidesNothing reports goroutines, clocks, chance and imports of
+// packages that decide in the adapter.
+func TestAdapterDecidesNothing(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("..", "..", PlatformDirectory, "*.go"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no source of the adapter: %v", err)
+	}
+	deciding := []string{"balance", "callgraph", "limiter", "loadshed", "admission", "routing"}
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		source, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range deciding {
+			if strings.Contains(string(source), `"github.com/gypsumford/gypsumford/`+name+`"`) {
+				t.Errorf("%s imports %s", file, name)
+			}
+		}
+		for _, word := range []string{"time.Now(", "time.Sleep(", "rand.", "\tgo "} {
+			if strings.Contains(string(source), word) {
+				t.Errorf("%s uses %q", file, word)
+			}
+		}
+	}
+}
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -17,8 +17,12 @@
 	// DialTimeout bounds the set-up of a connection: a few round trips between
 	// regions.
 	DialTimeout = 700 * time.Millisecond
-	// redialDelay is how long calls to an unreachable peer fail at once.
-	redialDelay = 400 * time.Millisecond
+	// minRedial and maxRedial bound the pause between two tries to reach a peer.
+	minRedial = 400 * time.Millisecond
+	maxRedial = 5 * time.Second
+	// redialTime is how long a peer that was connected is tried again without a
+	// call for it: it may have started anew and know nobody.
+	redialTime  = 60 * time.Second
 	unusedTicks = 240 // ticks without a call until a connection is closed, 60 s
 	// userTimeout ends a connection whose sent bytes stay unacknowledged.
 	userTimeout = 2 * time.Second
@@ -42,7 +46,9 @@
 	mu      struct {
 		sync.Mutex
 		conn    *conn
+		pause   time.Duration // 0 unless the last try failed
 		retryAt time.Time
+		lost    time.Time // when the connection was found to have ended
 	}
 }
 
@@ -85,25 +91,31 @@
 	if c, err := r.current(p.now()); c != nil || err != nil {
 		return c, err
 	}
+	return r.dial(ctx, p, address)
+}
+
+// dial opens a connection. The lock of dialing is held.
+func (r *peer) dial(ctx context.Context, p *Pool, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout, Control: setUserTimeout}
 	socket, err := dialer.DialContext(ctx, "tcp", address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
 		if ctx.Err() == nil {
-			r.mu.retryAt = p.now().Add(redialDelay)
+			r.mu.pause = min(max(2*r.mu.pause, minRedial), maxRedial)
+			r.mu.retryAt = p.now().Add(r.mu.pause)
 		}
 		return nil, errors.Mark(errors.Wrapf(err, "connection to peer %s", address), ErrNotSent)
 	}
 	c := newConn(p.node, socket)
-	r.mu.conn = c
+	r.mu.conn, r.mu.pause = c, 0
 	c.send(outgoing{frame: frame{Hello: &Hello{Record: p.node.Record()}}})
 	go c.run()
 	return c, nil
 }
 
-// current returns the open connection, ErrNotSent while no new one is to be
-// tried, or neither.
+// current returns the open connection, ErrNotSent if the peer is unreachable, or
+// neither if nothing is known. Calls don't try an unreachable peer: redial does.
 func (r *peer) current(now time.Time) (*conn, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -111,16 +123,39 @@
 		select {
 		case <-r.mu.conn.closed:
 			r.mu.conn = nil
+			r.mu.lost = now
 		default:
 			return r.mu.conn, nil
 		}
 	}
-	if now.Before(r.mu.retryAt) {
+	if r.mu.pause > 0 {
 		return nil, ErrNotSent
 	}
 	return nil, nil
 }
 
+// isDue reports whether the peer is to be tried again without a call for it.
+func (r *peer) isDue(now time.Time) bool {
+	c, _ := r.current(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c != nil || now.Before(r.mu.retryAt) {
+		return false
+	}
+	return r.mu.pause > 0 || !r.mu.lost.IsZero() && now.Sub(r.mu.lost) < redialTime
+}
+
+// redial tries to reach the peer again.
+func (p *Pool) redial(r *peer, address string) {
+	if !r.dialing.TryLock() {
+		return // it is being tried
+	}
+	defer r.dialing.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
+	defer cancel()
+	_, _ = r.dial(ctx, p, address) // the pause grows with each failure
+}
+
 // Serve accepts connections of peers until the listener is closed.
 func (p *Pool) Serve(listener net.Listener) error {
 	for {
@@ -185,8 +220,16 @@
 	return all
 }
 
-// Tick watches over the connections, every TickInterval.
+// Tick watches over the connections and unreachable peers, every TickInterval.
 func (p *Pool) Tick() {
+	now := p.now()
+	p.mu.Lock()
+	for address, r := range p.mu.peers {
+		if r.isDue(now) {
+			go p.redial(r, address)
+		}
+	}
+	p.mu.Unlock()
 	for _, c := range p.all() {
 		if c.tick() {
 			c.close()
@@ -194,6 +237,23 @@
 	}
 }
 
+// Forget drops what is known of the address, as no node listens there any more.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	r := p.mu.peers[address]
+	delete(p.mu.peers, address)
+	p.mu.Unlock()
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	c := r.mu.conn
+	r.mu.Unlock()
+	if c != nil {
+		c.close()
+	}
+}
+
 // Close ends all connections.
 func (p *Pool) Close() {
 	for _, c := range p.all() {
--- a/node/peers.go
+++ b/node/peers.go
@@ -139,8 +139,12 @@
 		return
 	}
 	n.tables.mu.Lock()
+	before := n.tables.mu.roster.Get(r.Instance)
 	news := n.tables.mu.roster.Offer(r)
 	n.tables.mu.Unlock()
+	if news && before != nil && before.Address != r.Address {
+		n.links.Forget(before.Address)
+	}
 	if news && from != "own" {
 		n.log.record(&r, from)
 	}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,94 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const interval = 1500 * time.Millisecond
+
+var start = time.Unix(1000, 0)
+
+func ready(id string, born int64, sequence uint64) Target {
+	return Target{ID: id, Born: born, Sequence: sequence, Service: "s", Slots: 4, State: Ready}
+}
+
+func TestOwnTarget(t *testing.T) {
+	Convey("A heartbeat of an earlier incarnation changes nothing", t, func() {
+		own := NewOwn(interval)
+		So(own.Beat(start, ready("new", 200, 1)), ShouldBeTrue)
+		So(own.Beat(start, ready("old", 100, 99)), ShouldBeFalse)
+		target, _ := own.Target()
+		So(target.ID, ShouldEqual, "new")
+	})
+	Convey("A target that starts again under its id begins anew", t, func() {
+		own := NewOwn(interval)
+		own.Beat(start, ready("a", 100, 50))
+		So(own.Beat(start, ready("a", 200, 1)), ShouldBeTrue)
+	})
+	Convey("A heartbeat that was overtaken changes nothing", t, func() {
+		own := NewOwn(interval)
+		draining := ready("a", 100, 5)
+		draining.State = Draining
+		own.Beat(start, draining)
+		So(own.Beat(start, ready("a", 100, 4)), ShouldBeFalse)
+		target, drained := own.Target()
+		So(target.State, ShouldEqual, Draining)
+		So(drained, ShouldEqual, start)
+	})
+	Convey("A target that leaves doesn't come back, whatever it sends later", t, func() {
+		own := NewOwn(interval)
+		own.Beat(start, ready("a", 100, 1))
+		So(own.Leave(start.Add(time.Second), "a"), ShouldBeTrue)
+		So(own.Beat(start.Add(2*time.Second), ready("a", 100, 2)), ShouldBeFalse)
+		target, drained := own.Target()
+		So(target.State, ShouldEqual, Absent)
+		So(drained, ShouldEqual, start.Add(time.Second))
+	})
+	Convey("The word of another target that it leaves changes nothing", t, func() {
+		own := NewOwn(interval)
+		own.Beat(start, ready("a", 100, 1))
+		So(own.Leave(start, "b"), ShouldBeFalse)
+	})
+	Convey("A target that falls silent lapses, and returns with its next heartbeat", t, func() {
+		own := NewOwn(interval)
+		own.Beat(start, ready("a", 100, 1))
+		So(own.Expire(start.Add(2*interval)), ShouldBeFalse)
+		So(own.Expire(start.Add(5*interval)), ShouldBeTrue)
+		So(own.Expire(start.Add(6*interval)), ShouldBeFalse)
+		So(own.Beat(start.Add(7*interval), ready("a", 100, 2)), ShouldBeTrue)
+		target, _ := own.Target()
+		So(target.State, ShouldEqual, Ready)
+	})
+}
+
+func TestTable(t *testing.T) {
+	record := func(incarnation int64, sequence uint64, state State) Record {
+		return Record{Instance: "n", Incarnation: incarnation, Sequence: sequence, Target: Target{ID: "t", Service: "s", State: state}}
+	}
+	Convey("The latest record stands, in whatever order records come", t, func() {
+		table := NewTable()
+		So(table.Offer(record(2, 1, Ready)), ShouldBeTrue)
+		So(table.Offer(record(1, 9, Draining)), ShouldBeFalse)
+		So(table.Offer(record(2, 1, Draining)), ShouldBeFalse)
+		So(len(table.Serving("s")), ShouldEqual, 1)
+		So(table.Offer(record(2, 2, Draining)), ShouldBeTrue)
+		So(table.Serving("s"), ShouldBeEmpty)
+	})
+	Convey("A node that leaves serves no more", t, func() {
+		table := NewTable()
+		leaving := record(1, 1, Ready)
+		leaving.Leaving = true
+		table.Offer(leaving)
+		So(table.Serving("s"), ShouldBeEmpty)
+	})
+	Convey("A removal spares a later incarnation", t, func() {
+		table := NewTable()
+		table.Offer(record(2, 1, Ready))
+		So(table.Remove("n", 1), ShouldBeFalse)
+		So(table.Remove("n", 2), ShouldBeTrue)
+		So(table.Get("n"), ShouldBeNil)
+	})
+}
