Credit calls to the run with their deadline; let costs expire at the entry

Calls expire with their parent, as the platform says, so the deadline names the parent; a cost that no answer has confirmed for 2 s now counts for nothing. Ruled out: more weight on the prior of the fit (the first second stays collinear).

--- a/callgraph/callgraph.go
+++ b/callgraph/callgraph.go
@@ -1,12 +1,11 @@
 // Package callgraph learns what requests of a route cost the services that they
 // lead to.
 //
-// The calls that a target makes while it runs a request name no parent. A Local
-// graph, beside one target, sees how many requests of each route the target is
-// running and when it makes a call. It fits the rate of calls of each route as a
-// sum over the running requests (least squares, no rate below 0): whichever
-// routes run when calls are made, and don't when they aren't, get the rate. The
-// rate times the mean time of a run is the number of calls that a run makes.
+// The calls that a target makes while it runs a request name no parent, but they
+// expire with it. So a Local graph, beside one target, credits a call to the run
+// with the same deadline. Where several have it, or none as the call has a
+// shorter deadline of its own, the call is shared out among the runs that may have
+// made it, in proportion to how often their routes have made such calls so far.
 //
 // The cost of a route is the time of its own runs, plus for each call that it
 // makes the cost of the called route, which the answers to those calls tell. So
@@ -16,24 +15,26 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// memory is how long observations count: older ones fade.
-	memory = 20 * time.Second
+	// rememberedRuns is how many runs of a route count: older ones fade.
+	rememberedRuns = 100
 	// timeGain is the weight of one run in a route's mean time.
 	timeGain = 0.05
 	// costGain is the weight of one answer in a called route's cost.
 	costGain = 0.2
-	// ridge keeps rates near 0 until there are observations, in seconds.
-	ridge = 0.2
-	// sweeps of the coordinate descent suffice for the few routes of a service.
-	sweeps = 30
-	// fitInterval paces the fit.
-	fitInterval = 250 * time.Millisecond
+	// deadlineSlack is how far the deadlines of a run and its call may lie apart:
+	// they are stated in whole milliseconds and travel for a moment.
+	deadlineSlack = 4 * time.Millisecond
+	// priorCalls stands for the calls of a route that was not yet seen to make any.
+	priorCalls = 0.005
+	// enoughMatched calls tell which routes make them; if there are none among
+	// enoughUnmatched, the deadlines don't tell.
+	enoughMatched   = 20
+	enoughUnmatched = 200
 	// minCalls is the number of calls a run below which an edge is noise.
 	minCalls = 0.15
 	// maxCalls and maxCost bound what a wrong estimate can do.
@@ -53,179 +54,153 @@
 // Services returns the services of the cost, sorted.
 func (c Cost) Services() []string { return slices.Sorted(maps.Keys(c)) }
 
-// Local is what the node beside a target knows of the target's runs.
-type Local struct {
-	service  string
-	routes   []*runs        // in the order in which they were first seen
-	index    map[string]int // by name of the route
-	overlap  [][]float64    // seconds that pairs of routes ran together, times the numbers of runs
-	called   map[string]*called
-	observed time.Time
-	fitted   time.Time
+// Run is one request that the target runs.
+type Run struct {
+	route    *routeRuns
+	deadline time.Time
 }
 
-// runs is what is known of one route that the target runs.
-type runs struct {
+// routeRuns is what is known of one route that the target runs.
+type routeRuns struct {
 	running int
-	seconds float64 // mean time of a run
-	ended   int
+	ended   float64            // fades
+	seconds float64            // mean time of a run
+	timed   int                // runs in that mean
+	calls   map[string]float64 // credited, by called route; fades
 }
 
-// called is what is known of one route that the target calls.
-type called struct {
-	coincided []float64 // runs of each route when calls were made, added up
-	rates     []float64 // calls a second that one run of each route makes
-	cost      Cost
+// Local is what the node beside a target knows of the target's runs.
+type Local struct {
+	service string
+	routes  map[string]*routeRuns
+	running map[*Run]struct{}
+	called  map[string]Cost // by called route
+	// matched and unmatched count calls with and without the deadline of a run,
+	// by called route.
+	matched, unmatched map[string]int
 }
 
 // NewLocal returns a graph for a target of the service.
 func NewLocal(service string) *Local {
-	return &Local{service: service, index: map[string]int{}, called: map[string]*called{}}
+	return &Local{
+		service: service, routes: map[string]*routeRuns{},
+		running: map[*Run]struct{}{}, called: map[string]Cost{},
+		matched: map[string]int{}, unmatched: map[string]int{},
+	}
 }
 
-// Began notes that the target runs a request of the route.
-func (l *Local) Began(now time.Time, route string) {
-	l.observe(now)
-	l.routes[l.indexOf(route)].running++
+// Began notes that the target runs a request that expires at the deadline.
+func (l *Local) Began(route string, deadline time.Time) *Run {
+	r := l.routes[route]
+	if r == nil {
+		r = &routeRuns{calls: map[string]float64{}}
+		l.routes[route] = r
+	}
+	r.running++
+	run := &Run{route: r, deadline: deadline}
+	l.running[run] = struct{}{}
+	return run
 }
 
 // Ended notes that the run has ended after the time.
-func (l *Local) Ended(now time.Time, route string, took time.Duration) {
-	l.observe(now)
-	r := l.routes[l.indexOf(route)]
-	r.running = max(r.running-1, 0)
+func (l *Local) Ended(run *Run, took time.Duration) {
+	delete(l.running, run)
+	r := run.route
+	r.running--
+	r.timed++
+	r.seconds += max(timeGain, 1/float64(r.timed)) * (took.Seconds() - r.seconds)
 	r.ended++
-	gain := max(timeGain, 1/float64(r.ended))
-	r.seconds += gain * (took.Seconds() - r.seconds)
-}
-
-// Called notes that the target makes a call of the route.
-func (l *Local) Called(now time.Time, route string) {
-	l.observe(now)
-	c := l.calledRoute(route)
-	for i, r := range l.routes {
-		c.coincided[i] += float64(r.running)
+	if r.ended > rememberedRuns {
+		const fade = 0.5
+		r.ended *= fade
+		for called := range r.calls {
+			r.calls[called] *= fade
+		}
 	}
 }
 
-func (l *Local) indexOf(route string) int {
-	if i, ok := l.index[route]; ok {
-		return i
-	}
-	i := len(l.routes)
-	l.index[route] = i
-	l.routes = append(l.routes, &runs{})
-	for j := range l.overlap {
-		l.overlap[j] = append(l.overlap[j], 0)
+// Called notes that the target makes a call that expires at the deadline.
+func (l *Local) Called(route string, deadline time.Time) {
+	if l.credit(route, func(run *Run) bool { return run.deadline.Sub(deadline).Abs() <= deadlineSlack }) {
+		l.matched[route]++
+		return
 	}
-	l.overlap = append(l.overlap, make([]float64, len(l.routes)))
-	for _, c := range l.called {
-		c.coincided = append(c.coincided, 0)
-		c.rates = append(c.rates, 0)
+	l.unmatched[route]++
+	if l.matched[route] < enoughMatched && l.unmatched[route] < enoughUnmatched {
+		return // sharing out now would be a guess that later ones follow
 	}
-	return i
+	l.credit(route, func(run *Run) bool { return run.deadline.After(deadline) })
 }
 
-func (l *Local) calledRoute(route string) *called {
-	c := l.called[route]
-	if c == nil {
-		c = &called{coincided: make([]float64, len(l.routes)), rates: make([]float64, len(l.routes))}
-		l.called[route] = c
-	}
-	return c
-}
-
-// observe adds up the time since the last event.
-func (l *Local) observe(now time.Time) {
-	if l.observed.IsZero() {
-		l.observed = now
-		return
-	}
-	dt := now.Sub(l.observed).Seconds()
-	if dt <= 0 {
-		return
-	}
-	l.observed = now
-	fade := math.Exp(-dt / memory.Seconds())
-	for i, row := range l.overlap {
-		for j := range row {
-			row[j] = row[j]*fade + dt*float64(l.routes[i].running*l.routes[j].running)
+// credit shares a call out among the runs that may have made it, and reports
+// whether there are any.
+func (l *Local) credit(route string, mayBeParent func(*Run) bool) bool {
+	weights := map[*routeRuns]float64{}
+	total := 0.0
+	for run := range l.running {
+		if mayBeParent(run) {
+			weight := run.route.rate(route)
+			weights[run.route] += weight
+			total += weight
 		}
 	}
-	for _, c := range l.called {
-		for i := range c.coincided {
-			c.coincided[i] *= fade
-		}
+	for r, weight := range weights {
+		r.calls[route] += weight / total
 	}
+	return total > 0
 }
 
-// fit solves for the rates, from time to time.
-func (l *Local) fit() {
-	if l.observed.Sub(l.fitted) < fitInterval {
-		return
-	}
-	l.fitted = l.observed
-	for _, c := range l.called {
-		for range sweeps {
-			for i, row := range l.overlap {
-				rest := c.coincided[i]
-				for j, both := range row {
-					if j != i {
-						rest -= both * c.rates[j]
-					}
-				}
-				c.rates[i] = max(rest/(row[i]+ridge), 0)
-			}
-		}
+// rate is how often a run is expected to make the call, a second.
+func (r *routeRuns) rate(called string) float64 {
+	const shortest = 1e-3
+	return (r.perRun(called) + priorCalls) / max(r.seconds, shortest)
+}
+
+// perRun is the number of calls a run, with those under way counted as half done.
+func (r *routeRuns) perRun(called string) float64 {
+	runs := r.ended + float64(r.running)/2
+	if runs < 1 {
+		runs = 1
 	}
+	return r.calls[called] / runs
 }
 
 // Calls returns how many calls of the called route one run of the route makes.
-func (l *Local) Calls(route, calledRoute string) float64 {
-	i, ok := l.index[route]
-	c := l.called[calledRoute]
-	if !ok || c == nil {
-		return 0
+func (l *Local) Calls(route, called string) float64 {
+	if r := l.routes[route]; r != nil {
+		return min(r.perRun(called), maxCalls)
 	}
-	l.fit()
-	return min(c.rates[i]*l.routes[i].seconds, maxCalls)
+	return 0
 }
 
 // Learn takes in the cost of a called route that an answer told.
 func (l *Local) Learn(route string, told Cost) {
-	c := l.calledRoute(route)
-	if c.cost == nil {
-		c.cost = maps.Clone(told)
-		return
-	}
+	known := l.called[route]
+	next := make(Cost, len(told))
 	for service, part := range told {
-		if before, ok := c.cost[service]; ok {
+		if before, ok := known[service]; ok {
 			part.Time = before.Time + time.Duration(costGain*float64(part.Time-before.Time))
 			part.Requests = before.Requests + costGain*(part.Requests-before.Requests)
 		}
-		c.cost[service] = part
-	}
-	for service := range c.cost {
-		if _, ok := told[service]; !ok {
-			delete(c.cost, service)
-		}
+		next[service] = part
 	}
+	l.called[route] = next
 }
 
 // Of returns the cost of a request of the route that the target runs, nil while
 // none has ended.
 func (l *Local) Of(route string) Cost {
-	i, ok := l.index[route]
-	if !ok || l.routes[i].ended == 0 {
+	r := l.routes[route]
+	if r == nil || r.timed == 0 {
 		return nil
 	}
-	cost := Cost{l.service: Part{Time: seconds(l.routes[i].seconds), Requests: 1}}
-	for name, c := range l.called {
-		calls := l.Calls(route, name)
+	cost := Cost{l.service: Part{Time: time.Duration(r.seconds * float64(time.Second)), Requests: 1}}
+	for called := range r.calls {
+		calls := l.Calls(route, called)
 		if calls < minCalls {
 			continue
 		}
-		for service, each := range c.cost {
+		for service, each := range l.called[called] {
 			part := cost[service]
 			part.Time = min(part.Time+time.Duration(calls*float64(each.Time)), maxCost)
 			part.Requests = min(part.Requests+calls*each.Requests, maxCalls)
@@ -234,5 +209,3 @@
 	}
 	return cost
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/callgraph/callgraph_test.go
+++ b/callgraph/callgraph_test.go
@@ -9,8 +9,9 @@
 )
 
 // play runs a target that takes requests of two routes at the given rates, of
-// which one makes calls and the other makes none.
-func play(local *Local, seed uint64, callersPerS, plainPerS float64, calls int, length time.Duration) {
+// which one makes calls and the other makes none. Calls have the deadline of
+// their run, but no more than shortest.
+func play(local *Local, seed uint64, callersPerS, plainPerS float64, calls int, shortest, length time.Duration) {
 	type event struct {
 		at time.Time
 		do func(now time.Time)
@@ -26,11 +27,16 @@
 		}
 	}
 	run := func(route string, at time.Time, took time.Duration, calls int) {
-		add(at, func(now time.Time) { local.Began(now, route) })
+		deadline := at.Add(time.Duration(300+random.IntN(700)) * time.Millisecond)
+		var begun *Run
+		add(at, func(time.Time) { begun = local.Began(route, deadline) })
 		for i := range calls {
-			add(at.Add(took*time.Duration(i+1)/time.Duration(calls+1)), func(now time.Time) { local.Called(now, "called") })
+			add(at.Add(took*time.Duration(i+1)/time.Duration(calls+1)), func(now time.Time) {
+				left := min(deadline.Sub(now), shortest).Truncate(time.Millisecond)
+				local.Called("called", now.Add(left))
+			})
 		}
-		add(at.Add(took), func(now time.Time) { local.Ended(now, route, took) })
+		add(at.Add(took), func(time.Time) { local.Ended(begun, took) })
 	}
 	arrivals(callersPerS, func(at time.Time) { run("caller", at, 135*time.Millisecond, calls) })
 	arrivals(plainPerS, func(at time.Time) {
@@ -50,20 +56,28 @@
 }
 
 func TestCallsAreCreditedToTheRouteThatMakesThem(t *testing.T) {
-	Convey("Of two routes that always run together, the one that calls gets the calls", t, func() {
-		for seed := range uint64(5) {
-			local := NewLocal("archive")
-			play(local, seed, 60, 16, 4, 15*time.Second)
-			So(local.Calls("caller", "called"), ShouldAlmostEqual, 4, 0.6)
-			So(local.Calls("plain", "called"), ShouldBeLessThan, 0.8)
-		}
-	})
+	for name, shortest := range map[string]time.Duration{
+		"their own": time.Hour, "often shorter": 500 * time.Millisecond,
+	} {
+		Convey("Of two routes that run together, the one that calls gets the calls; their deadlines are "+name, t, func() {
+			for seed := range uint64(5) {
+				local := NewLocal("archive")
+				play(local, seed, 60, 46, 4, shortest, time.Second)
+				// The entry takes a fifth of the largest cost for negligible.
+				So(local.Calls("plain", "called"), ShouldBeLessThan, 0.2*local.Calls("caller", "called"))
+				local = NewLocal("archive")
+				play(local, seed, 60, 46, 4, shortest, 10*time.Second)
+				So(local.Calls("caller", "called"), ShouldBeBetween, 3, 4.5)
+				So(local.Calls("plain", "called"), ShouldBeLessThan, 0.8)
+			}
+		})
+	}
 }
 
 func TestCostsAddUp(t *testing.T) {
 	Convey("The cost of a route is its own time and that of its calls", t, func() {
 		local := NewLocal("archive")
-		play(local, 1, 20, 5, 4, 15*time.Second)
+		play(local, 1, 20, 5, 4, time.Hour, 15*time.Second)
 		local.Learn("called", Cost{"printer": {Time: 30 * time.Millisecond, Requests: 1}})
 		cost := local.Of("caller")
 		So(cost["archive"].Time, ShouldAlmostEqual, 135*time.Millisecond, 10*time.Millisecond)
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -31,13 +31,13 @@
 
 // delivery hands calls to the target beside the node.
 type delivery struct {
-	now     func() time.Time
-	pool    *egress.Pool
-	sender  *egress.Sender
-	dialect egress.Dialect
-	observe func(now time.Time, route string, began bool, took time.Duration)
-	origin  func(route, caller string) callgraph.Origin
-	views   func(route string) []link.ServiceView
+	now      func() time.Time
+	pool     *egress.Pool
+	sender   *egress.Sender
+	dialect  egress.Dialect
+	runBegan func(route string, deadline time.Time) (ended func(took time.Duration))
+	origin   func(route, caller string) callgraph.Origin
+	views    func(route string) []link.ServiceView
 
 	mu struct {
 		sync.Mutex
@@ -121,11 +121,10 @@
 		return d.finish(refusal, c)
 	}
 	started := d.now()
-	d.observe(started, c.Route, true, 0)
+	ended := d.runBegan(c.Route, deadline)
 	reply := d.send(ctx, c, deadline)
-	ended := d.now()
-	reply.Duration = ended.Sub(started)
-	d.observe(ended, c.Route, false, reply.Duration)
+	reply.Duration = d.now().Sub(started)
+	ended(reply.Duration)
 	d.mu.Lock()
 	d.mu.limiter.Done(reply.Duration)
 	d.wake()
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -94,13 +94,13 @@
 	t.mu.retries.Request(now, r.service)
 	r.origin = t.mu.sentBy[r.route.Name]
 	if r.origin == callgraph.Targets {
-		t.mu.graph.Called(now, r.route.Name)
+		t.mu.graph.Called(r.route.Name, r.Arrived.Add(r.TimeLeft))
 		return nil // its parent runs already; a refusal would waste that work
 	}
 	if r.origin == callgraph.Unknown {
 		return nil
 	}
-	verdict := t.mu.shed.Admit(now, r.route.Priority, t.charges(r.route.Name))
+	verdict := t.mu.shed.Admit(now, r.route.Priority, t.charges(now, r.route.Name))
 	if verdict.Admit {
 		return nil
 	}
@@ -174,7 +174,7 @@
 	if r.runs == 0 {
 		return charges
 	}
-	for service, part := range d.tables.mu.costs[r.route.Name] {
+	for service, part := range d.tables.mu.costs[r.route.Name].cost {
 		if service != r.service {
 			charges = append(charges, retrybudget.Charge{Service: service, Count: part.Requests})
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -100,7 +100,7 @@
 	n := &Node{settings: s, platform: p, now: time.Now, log: decisionLog{log}, publish: make(chan struct{}, 1)}
 	n.tables = newTables(s, rand.Float64())
 	n.delivery = newDelivery(s, p.Dialect, n.now)
-	n.delivery.observe = n.tables.observeRun
+	n.delivery.runBegan = n.tables.runBegan
 	n.delivery.origin = n.tables.observeOrigin
 	n.delivery.views = func(routeName string) []link.ServiceView {
 		return n.tables.views(n.now(), routeName, s.Service, n.delivery.load())
--- a/node/tables.go
+++ b/node/tables.go
@@ -14,6 +14,15 @@
 	"github.com/gypsumford/gypsumford/route"
 )
 
+// costAge is how long the cost of a route holds after an answer told it.
+const costAge = 2 * time.Second
+
+// toldCost is the cost of a route as an answer told it.
+type toldCost struct {
+	cost callgraph.Cost
+	at   time.Time
+}
+
 // pressureScale is the step of a pressure on the wire.
 const pressureScale = 50
 
@@ -33,7 +42,7 @@
 		shed     *loadshed.Table
 		splitter *route.Splitter
 		origins  *callgraph.Origins
-		costs    map[string]callgraph.Cost   // of routes, as answers told
+		costs    map[string]toldCost         // of routes
 		sentBy   map[string]callgraph.Origin // who sends requests of routes, as answers told
 	}
 	inForce atomic.Pointer[route.Configuration]
@@ -48,7 +57,7 @@
 	t.mu.shed = loadshed.NewTable()
 	t.mu.splitter = route.NewSplitter(start)
 	t.mu.origins = callgraph.NewOrigins()
-	t.mu.costs = map[string]callgraph.Cost{}
+	t.mu.costs = map[string]toldCost{}
 	t.mu.sentBy = map[string]callgraph.Origin{}
 	return t
 }
@@ -68,14 +77,16 @@
 	return t.mu.origins.Seen(routeName, caller, services)
 }
 
-// observeRun notes the beginning or end of a run on the own target.
-func (t *tables) observeRun(now time.Time, routeName string, began bool, took time.Duration) {
+// runBegan notes a run on the own target. The function that it returns notes the
+// end.
+func (t *tables) runBegan(routeName string, deadline time.Time) (ended func(took time.Duration)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if began {
-		t.mu.graph.Began(now, routeName)
-	} else {
-		t.mu.graph.Ended(now, routeName, took)
+	run := t.mu.graph.Began(routeName, deadline)
+	return func(took time.Duration) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.mu.graph.Ended(run, took)
 	}
 }
 
@@ -123,7 +134,7 @@
 			t.mu.shed.Observe(now, view.Service, float64(view.Pressure)/pressureScale)
 		}
 	}
-	t.mu.costs[routeName] = cost
+	t.mu.costs[routeName] = toldCost{cost: cost, at: now}
 	if t.mu.sentBy[routeName] == callgraph.Targets {
 		t.mu.graph.Learn(routeName, cost)
 	}
@@ -146,15 +157,21 @@
 func (t *tables) isOwnFault(routeName, service, target string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.mu.costs[routeName]) <= 1 {
+	if len(t.mu.costs[routeName].cost) <= 1 {
 		return true
 	}
 	return t.mu.balance.StandsOut(target, t.mu.roster.Serving(service))
 }
 
-// charges returns what a request of the route costs. The lock is held.
-func (t *tables) charges(routeName string) []loadshed.Charge {
-	cost := t.mu.costs[routeName]
+// charges returns what a request of the route costs. A cost that no answer has
+// confirmed lately counts for nothing: the next request is let in and finds out.
+// The lock is held.
+func (t *tables) charges(now time.Time, routeName string) []loadshed.Charge {
+	told := t.mu.costs[routeName]
+	if now.Sub(told.at) > costAge {
+		return nil
+	}
+	cost := told.cost
 	charges := make([]loadshed.Charge, 0, len(cost))
 	for service, each := range cost {
 		charges = append(charges, loadshed.Charge{Service: service, Cost: each.Time})
