Match deadlines within 2.5 ms

Both stated in whole milliseconds, the deadlines of a run and its call lie at most about 2 ms apart.

--- a/callgraph/callgraph.go
+++ b/callgraph/callgraph.go
@@ -28,7 +28,7 @@
 	costGain = 0.2
 	// deadlineSlack is how far the deadlines of a run and its call may lie apart:
 	// they are stated in whole milliseconds and travel for a moment.
-	deadlineSlack = 4 * time.Millisecond
+	deadlineSlack = 2500 * time.Microsecond
 	// priorCalls stands for the calls of a route that was not yet seen to make any.
 	priorCalls = 0.005
 	// enoughMatched calls tell which routes make them; if there are none among
