Bound the log, serve metrics, spare the store while records change

The log takes at most 500 lines a second from a queue that never blocks and counts what it leaves out; counters and latency histograms are served where GYPSUM_METRICS_PORT says.

--- a/cmd/gypsumd/sidecar.go
+++ b/cmd/gypsumd/sidecar.go
@@ -4,15 +4,19 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/gypsumford/gypsumford/node"
+	"github.com/gypsumford/gypsumford/node/decisionlog"
 	"github.com/gypsumford/gypsumford/platform"
 )
 
@@ -25,6 +29,10 @@
 	// memoryLimitShare of the process's limit is where the collector runs
 	// ever more often.
 	memoryLimitShare = 0.6
+	// logLinesPerS bounds the log; a line takes about 10 microseconds.
+	logLinesPerS = 500
+	// metricsPortVariable names the port that serves metrics; none if unset.
+	metricsPortVariable = "GYPSUM_METRICS_PORT"
 )
 
 // runSidecar runs a node with the platform's settings file.
@@ -40,7 +48,13 @@
 	if limit := settings.Node.MemoryBytes; limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(int64(float64(limit) * memoryLimitShare))
 	}
-	log := logr.FromSlogHandler(slog.NewJSONHandler(os.Stdout, nil))
+	if err := readMetricsPort(&settings.Node); err != nil {
+		fmt.Fprintf(os.Stderr, "gypsumd %s: %v\n", sidecarCommand, err)
+		return 1
+	}
+	lines := decisionlog.NewWriter(os.Stdout, logLinesPerS)
+	defer lines.Close()
+	log := logr.FromSlogHandler(slog.NewJSONHandler(lines, nil))
 	client := platform.NewClient(settings.StoreAddress)
 	n := node.New(&settings.Node, node.Platform{
 		Dialect:        platform.Dialect{},
@@ -48,6 +62,7 @@
 		Directory:      &platform.Instances{Client: client},
 		Heartbeats:     func(n *node.Node) http.Handler { return platform.HeartbeatHandler(n) },
 		Ready:          platform.ReadyHandler,
+		LinesOmitted:   lines.Omitted,
 	}, log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -59,6 +74,23 @@
 	return 0
 }
 
+// readMetricsPort adds the address of the metrics, on the host of the peers'.
+func readMetricsPort(s *node.Settings) error {
+	port := os.Getenv(metricsPortVariable)
+	if port == "" {
+		return nil
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return errors.Newf("%s: want a port from 1 to 65535, got %q", metricsPortVariable, port)
+	}
+	host, _, err := net.SplitHostPort(s.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "address of the node")
+	}
+	s.MetricsAddress = net.JoinHostPort(host, port)
+	return nil
+}
+
 // reload reads the settings file again at each SIGHUP. A file with mistakes
 // changes nothing.
 func reload(ctx context.Context, n *node.Node, log logr.Logger) {
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -35,6 +35,7 @@
 	pool     *egress.Pool
 	sender   *egress.Sender
 	dialect  egress.Dialect
+	metrics  *metrics
 	runBegan func(route string, deadline time.Time) (ended func(took time.Duration))
 	origin   func(route, caller string) callgraph.Origin
 	views    func(route string) []link.ServiceView
@@ -133,6 +134,10 @@
 }
 
 func (d *delivery) finish(reply *link.Reply, c *link.Call) *link.Reply {
+	d.metrics.runs.Add(reply.Outcome.String()+"/"+reply.Reason.String(), 1)
+	if reply.Outcome == link.Answered {
+		d.metrics.targets.record(reply.Duration)
+	}
 	reply.Load = d.load()
 	reply.Views = d.views(c.Route)
 	reply.Origin = d.origin(c.Route, c.Caller)
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,7 @@
 	delivery *delivery
 	links    *link.Pool
 	log      decisionLog
+	metrics  *metrics
 }
 
 // request is one caller's request on its way.
@@ -106,6 +108,7 @@
 	}
 	comeBack := d.comeBack(r, now)
 	d.log.shed(r, &verdict, comeBack)
+	d.metrics.refused.Add(strconv.Itoa(r.route.Priority), 1)
 	return refusal(comeBack)
 }
 
@@ -191,6 +194,9 @@
 		Idempotent: r.route.Idempotent, Repeat: r.arrivals > 0,
 	}
 	r.sends++
+	if r.arrivals > 0 {
+		d.metrics.repeats.Add(1)
+	}
 	r.excluded = append(r.excluded, record.Target.ID)
 	if record.Instance == d.settings.Name {
 		return d.delivery.serve(ctx, call)
@@ -287,6 +293,11 @@
 
 func (d *dispatcher) end(r *request, answer *ingress.Answer, why string) *ingress.Answer {
 	d.log.ended(r, answer, why)
+	d.metrics.ends.Add(why, 1)
+	if answer != nil {
+		d.metrics.answers.Add(strconv.Itoa(answer.Status), 1)
+	}
+	d.metrics.requests.record(d.now().Sub(r.Arrived))
 	return answer
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -29,7 +29,7 @@
 
 const (
 	// instancePause lets records that change together cost one store call.
-	instancePause  = 150 * time.Millisecond
+	instancePause  = 1 * time.Second
 	publishTimeout = 1 * time.Second
 	minPublishWait = 100 * time.Millisecond
 	maxPublishWait = 1 * time.Second
@@ -69,6 +69,8 @@
 	// Heartbeats and Ready make the handlers of the two listeners.
 	Heartbeats func(n *Node) http.Handler
 	Ready      func(ready func() bool) http.Handler
+	// LinesOmitted counts log lines that were left out, nil if none ever are.
+	LinesOmitted func() uint64
 }
 
 // Node is one node.
@@ -78,6 +80,7 @@
 	now      func() time.Time
 	log      decisionLog
 
+	metrics    *metrics
 	tables     *tables
 	delivery   *delivery
 	links      *link.Pool
@@ -98,8 +101,10 @@
 // New returns a node that isn't running.
 func New(s *Settings, p Platform, log logr.Logger) *Node {
 	n := &Node{settings: s, platform: p, now: time.Now, log: decisionLog{log}, publish: make(chan struct{}, 1)}
+	n.metrics = newMetrics()
 	n.tables = newTables(s, rand.Float64())
 	n.delivery = newDelivery(s, p.Dialect, n.now)
+	n.delivery.metrics = n.metrics
 	n.delivery.runBegan = n.tables.runBegan
 	n.delivery.origin = n.tables.observeOrigin
 	n.delivery.views = func(routeName string) []link.ServiceView {
@@ -107,28 +112,45 @@
 	}
 	n.links = link.NewPool(n, n.now)
 	n.dispatcher = &dispatcher{
-		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log,
+		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log, metrics: n.metrics,
 	}
 	n.ingress = ingress.NewServer(p.Dialect, n.dispatcher, n.now)
 	n.mu.record = roster.Record{
 		Instance: s.Name, Incarnation: time.Now().UnixMilli(), Address: s.PeerAddress, Domain: s.Domain,
 	}
 	n.buildFollowers()
+	n.addGauges()
 	return n
 }
 
 func (n *Node) buildFollowers() {
 	n.configs = store.NewFollower(n.platform.Configurations)
 	n.configs.Read, n.configs.Changed = n.configurationsHeard, n.configurationsHeard
-	n.configs.Failed = func(err error) { n.log.dependency("store: configuration", err) }
+	n.configs.Failed = func(err error) { n.storeFailed("store: configuration", err) }
 	n.configs.Regained = func() { n.log.regained("store: configuration") }
 	n.records = store.NewFollower[roster.Record](n.platform.Directory)
 	n.records.Read, n.records.Changed = n.recordsHeard, n.recordsHeard
-	n.records.Failed = func(err error) { n.log.dependency("store: instances", err) }
+	n.records.Failed = func(err error) { n.storeFailed("store: instances", err) }
 	n.records.Regained = func() { n.log.regained("store: instances") }
 	n.records.Pause = instancePause
 }
 
+func (n *Node) storeFailed(dependency string, err error) {
+	n.metrics.store.Add(dependency, 1)
+	n.log.dependency(dependency, err)
+}
+
+func (n *Node) addGauges() {
+	n.metrics.gauges["configuration_version"] = func() int64 { return int64(n.Version()) }
+	n.metrics.gauges["instances"] = func() int64 { return int64(n.instances()) }
+	n.metrics.gauges["requests_in_flight"] = func() int64 { return int64(n.ingress.Active()) }
+	n.metrics.gauges["target_running"] = func() int64 { return int64(n.delivery.load().Running) }
+	n.metrics.gauges["target_waiting"] = func() int64 { return int64(n.delivery.load().Waiting) }
+	if n.platform.LinesOmitted != nil {
+		n.metrics.gauges["log_lines_omitted"] = func() int64 { return int64(n.platform.LinesOmitted()) }
+	}
+}
+
 // Run serves until the context ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
@@ -182,10 +204,14 @@
 	if s.callers, err = serve(n.settings.CallerAddress, n.ingress); err != nil {
 		return nil, err
 	}
-	for address, handler := range map[string]http.Handler{
+	control := map[string]http.Handler{
 		n.settings.ReadyAddress:     n.platform.Ready(n.ready),
 		n.settings.HeartbeatAddress: n.platform.Heartbeats(n),
-	} {
+	}
+	if n.settings.MetricsAddress != "" {
+		control[n.settings.MetricsAddress] = n.metrics
+	}
+	for address, handler := range control {
 		server, err := serve(address, handler)
 		if err != nil {
 			return nil, err
--- a/node/settings.go
+++ b/node/settings.go
@@ -17,6 +17,7 @@
 	ReadyAddress      string // where the platform asks whether the node takes callers
 	HeartbeatAddress  string // where the target sends heartbeats
 	TargetAddress     string // of the target beside the node
+	MetricsAddress    string // where metrics are served, "" for nowhere
 	HeartbeatInterval time.Duration
 	DrainTime         time.Duration // until a target that leaves gets no request any more
 	GraceTime         time.Duration // from SIGTERM until the process is killed
--- a/node/target.go
+++ b/node/target.go
@@ -72,7 +72,7 @@
 			if err == nil {
 				break
 			}
-			n.log.dependency("store: publication", err)
+			n.storeFailed("store: publication", err)
 			time.Sleep(wait/2 + rand.N(wait))
 			wait = min(2*wait, maxPublishWait)
 		}
