--- a/node/delivery.go
+++ b/node/delivery.go
@@ -36,6 +36,7 @@
 	sender   *egress.Sender
 	dialect  egress.Dialect
 	metrics  *metrics
+	log      decisionLog
 	runBegan func(route string, deadline time.Time) (ended func(took time.Duration))
 	origin   func(route, caller string) callgraph.Origin
 	views    func(route string) []link.ServiceView
@@ -139,6 +140,8 @@
 		d.metrics.targets.record(reply.Duration)
 	}
 	reply.Load = d.load()
+	target := d.target()
+	d.log.callEnded(c, reply, &target)
 	reply.Views = d.views(c.Route)
 	reply.Origin = d.origin(c.Route, c.Caller)
 	return reply
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -53,7 +53,8 @@
 	runs          int      // at targets, as far as is known
 	excluded      []string // targets that were tried
 	last          link.Reason
-	lastReply     *link.Reply // an answer that is kept while another target is tried
+	choice        balance.Choice // of the last target
+	lastReply     *link.Reply    // an answer that is kept while another target is tried
 }
 
 // Handle serves one request of a caller.
@@ -167,6 +168,7 @@
 		return choice, false
 	}
 	t.mu.balance.Sent(now, choice.Record.Target.ID)
+	r.choice = choice
 	return choice, true
 }
 
@@ -292,12 +294,13 @@
 }
 
 func (d *dispatcher) end(r *request, answer *ingress.Answer, why string) *ingress.Answer {
-	d.log.ended(r, answer, why)
+	took := d.now().Sub(r.Arrived)
+	d.log.ended(r, answer, why, took)
 	d.metrics.ends.Add(why, 1)
 	if answer != nil {
 		d.metrics.answers.Add(strconv.Itoa(answer.Status), 1)
 	}
-	d.metrics.requests.record(d.now().Sub(r.Arrived))
+	d.metrics.requests.record(took)
 	return answer
 }
 
--- a/node/log.go
+++ b/node/log.go
@@ -1,34 +1,48 @@
 package node
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/ingress"
+	"github.com/gypsumford/gypsumford/node/link"
 	"github.com/gypsumford/gypsumford/roster"
+	"github.com/gypsumford/gypsumford/route"
 )
 
 // decisionLog writes one line for each decision on a request or a belief.
 type decisionLog struct{ logr.Logger }
 
 // ended logs the end of a request.
-func (l decisionLog) ended(r *request, a *ingress.Answer, why string) {
-	if a != nil && !a.Own && a.Status < 500 && r.sends == 1 {
-		return // the plain case is counted, not logged
-	}
+func (l decisionLog) ended(r *request, a *ingress.Answer, why string, took time.Duration) {
 	status := 0
 	if a != nil {
 		status = a.Status
 	}
-	routeName := ""
+	routeName, version := "", route.Version(0)
 	if r.route != nil {
-		routeName = r.route.Name
+		routeName, version = r.route.Name, r.configuration.Version
 	}
-	l.Info("request ended", "request", r.RequestID, "route", routeName, "service", r.service,
+	l.Info("request ended", "request", r.RequestID, "route", routeName, "version", version, "service", r.service,
 		"status", status, "own", a == nil || a.Own, "why", why, "last", r.last.String(),
-		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "origin", r.origin.String())
+		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "origin", r.origin.String(),
+		"tookMs", took.Milliseconds(), "score", r.choice.Score, "candidates", r.choice.Candidates,
+		"loadAgeMs", r.choice.LoadAge.Milliseconds())
+}
+
+// callEnded logs the end of a call at the target's node, unless it was answered
+// without a failure.
+func (l decisionLog) callEnded(c *link.Call, reply *link.Reply, target *roster.Target) {
+	if reply.Outcome == link.Answered && reply.Status < http.StatusInternalServerError {
+		return
+	}
+	l.Info("call ended", "request", c.RequestID, "route", c.Route, "outcome", reply.Outcome.String(),
+		"reason", reply.Reason.String(), "status", reply.Status, "meant", c.Target, "target", target.ID,
+		"state", target.State.String(), "running", reply.Load.Running, "waiting", reply.Load.Waiting,
+		"slots", reply.Load.Slots, "leftMs", c.TimeLeft.Milliseconds(), "tookMs", reply.Duration.Milliseconds())
 }
 
 // shed logs a request that was refused at the entry.
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 	n.metrics = newMetrics()
 	n.tables = newTables(s, rand.Float64())
 	n.delivery = newDelivery(s, p.Dialect, n.now)
-	n.delivery.metrics = n.metrics
+	n.delivery.metrics, n.delivery.log = n.metrics, n.log
 	n.delivery.runBegan = n.tables.runBegan
 	n.delivery.origin = n.tables.observeOrigin
 	n.delivery.views = func(routeName string) []link.ServiceView {
