--- a/loadshed/surge_test.go
+++ b/loadshed/surge_test.go
@@ -92,8 +92,7 @@
 			best = t
 		}
 	}
-	var run func()
-	run = func() {
+	run := func() {
 		best.running++
 		work := time.Duration(w.random.ExpFloat64() * float64(callTime))
 		w.after(work, func() {
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -256,6 +257,9 @@
 		Header: c.Header, Body: c.Body, TimeLeft: left, Caller: c.Caller,
 	})
 	switch {
+	case err == nil && response.Status < http.StatusMultipleChoices && !response.Answer.Signed:
+		// A success that the target didn't sign is none: the bytes were spoilt.
+		return &link.Reply{Outcome: link.Unknown, Reason: link.ReasonBroken, Arrived: true}
 	case err == nil:
 		return &link.Reply{
 			Outcome: link.Answered, Arrived: true, Status: response.Status, Signed: response.Answer.Signed,
--- a/roster/own.go
+++ b/roster/own.go
@@ -30,7 +30,7 @@
 	}
 	previous := o.target
 	sameRun := previous.ID == t.ID && previous.Born == t.Born
-	if sameRun && o.drained.IsZero() == false && !o.lapsed {
+	if sameRun && !o.drained.IsZero() && !o.lapsed {
 		t.State = previous.State // a target that leaves doesn't come back
 	}
 	wasLapsed := o.lapsed
