--- a/node/decisionlog/writer_test.go
+++ b/node/decisionlog/writer_test.go
@@ -51,8 +51,8 @@
 	})
 	Convey("An output that takes nothing holds nobody up", t, func() {
 		out := &stuck{release: make(chan struct{})}
-		w := NewWriter(out, 10*queueLines)
-		for range 2 * queueLines {
+		w := NewWriter(out, 100*queueLines)
+		for range 10 * queueLines { // more than the queue and a batch hold
 			_, _ = w.Write([]byte("x\n"))
 		}
 		So(w.Omitted(), ShouldBeGreaterThan, 0)
--- /dev/null
+++ b/node/store/follower_test.go
@@ -0,0 +1,118 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// scripted is a source whose calls answer as the test says.
+type scripted struct {
+	mu    sync.Mutex
+	reads int
+	read  func(n int) ([]Change[int], Revision, error)
+	wait  func(ctx context.Context, since Revision) ([]Change[int], Revision, error)
+}
+
+func (s *scripted) Read(context.Context) ([]Change[int], Revision, error) {
+	s.mu.Lock()
+	s.reads++
+	n := s.reads
+	s.mu.Unlock()
+	return s.read(n)
+}
+
+func (s *scripted) Wait(ctx context.Context, since Revision, _ time.Duration) ([]Change[int], Revision, error) {
+	return s.wait(ctx, since)
+}
+
+// follow runs a follower until heard has got want.
+func follow(t *testing.T, source *scripted, want int, during func(f *Follower[int])) (failed, regained int) {
+	f := NewFollower[int](source)
+	got := make(chan int, 100)
+	hear := func(changes []Change[int]) {
+		for _, c := range changes {
+			got <- c.Value
+		}
+	}
+	var mu sync.Mutex
+	f.Read, f.Changed = hear, hear
+	f.Failed = func(error) { mu.Lock(); failed++; mu.Unlock() }
+	f.Regained = func() { mu.Lock(); regained++; mu.Unlock() }
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	if during != nil {
+		during(f)
+	}
+	for value := 0; value != want; {
+		select {
+		case value = <-got:
+		case <-ctx.Done():
+			t.Fatalf("%d was not heard", want)
+		}
+	}
+	cancel()
+	<-done
+	mu.Lock()
+	defer mu.Unlock()
+	return failed, regained
+}
+
+func values(v ...int) []Change[int] {
+	var changes []Change[int]
+	for _, value := range v {
+		changes = append(changes, Change[int]{Value: value})
+	}
+	return changes
+}
+
+func forever(ctx context.Context, _ Revision) ([]Change[int], Revision, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func TestFollower(t *testing.T) {
+	Convey("History that is gone is read anew, which is no failure", t, func() {
+		source := &scripted{read: func(n int) ([]Change[int], Revision, error) { return values(n), Revision(n), nil }}
+		source.wait = func(ctx context.Context, since Revision) ([]Change[int], Revision, error) {
+			if since == 1 {
+				return nil, 0, ErrCompacted
+			}
+			return forever(ctx, since)
+		}
+		failed, _ := follow(t, source, 2, nil)
+		So(failed, ShouldEqual, 0)
+	})
+	Convey("A store that is away is asked again, and its return is told once", t, func() {
+		source := &scripted{wait: func(ctx context.Context, since Revision) ([]Change[int], Revision, error) {
+			if since == 3 {
+				return values(9), 4, nil
+			}
+			return forever(ctx, since)
+		}}
+		source.read = func(n int) ([]Change[int], Revision, error) {
+			if n < 3 {
+				return nil, 0, ErrRefused
+			}
+			return values(n), Revision(n), nil
+		}
+		failed, regained := follow(t, source, 9, nil)
+		So(failed, ShouldEqual, 2)
+		So(regained, ShouldEqual, 1)
+	})
+	Convey("A follower that is told so reads now rather than wait on", t, func() {
+		source := &scripted{wait: forever, read: func(n int) ([]Change[int], Revision, error) { return values(n), 1, nil }}
+		failed, _ := follow(t, source, 2, func(f *Follower[int]) {
+			time.Sleep(50 * time.Millisecond)
+			f.Hurry()
+		})
+		So(failed, ShouldEqual, 0)
+	})
+}
