--- a/balance/table.go
+++ b/balance/table.go
@@ -13,12 +13,12 @@
 	minRatio    = 0.1  // bounds of one answer's part in the pace, so that
 	maxRatio    = 8.0  // stragglers don't decide alone
 
-	remoteFactor   = 2.0 // how much better a target in another failure domain must be
-	failurePenalty = 8.0 // score of a target that always fails, over that of a sound one
-	refusalGain    = 0.1 // weight of one answer in a target's share of refusals
+	remoteFactor   = 2.0  // how much better a target in another failure domain must be
+	failurePenalty = 8.0  // score of a target that always fails, over that of a sound one
+	refusalGain    = 0.1  // weight of one answer in a target's share of refusals
 	refusalPenalty = 12.0 // score of a target that always refuses, over that of one that never does
-	untriedFactor  = 0.9 // makes a target whose pace is unknown be tried
-	coldFactor     = 2.0 // expected slowness of a target that has just started
+	untriedFactor  = 0.9  // makes a target whose pace is unknown be tried
+	coldFactor     = 2.0  // expected slowness of a target that has just started
 
 	standsOutFactor = 2.0  // over the failures of the others
 	standsOutMargin = 0.05 // share of requests
