--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -58,14 +58,3 @@
 	"time": {"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick"},
 	"rand": {"Int", "IntN", "Int64", "Int64N", "Uint32", "Uint64", "Float64", "N", "Perm", "Shuffle"},
 }
-
-// PlatformDirectory is the only one whose code may use names of the users'
-// platform.
-const PlatformDirectory = "platform"
-
-// PlatformNames lists spellings that only the platform uses.
-var PlatformNames = []string{
-	"Gypsumford-", "GYPSUMFORD_BOOT", "heartbeatAddr", "coldLeftS", "routeType", "trafficSplit",
-	"resourceKind", "currentRev", "targetLatencyS", "appAddr",
-	"heartbeatS", "budgetSlack", "retryBudgetRatio", "machineClass",
-}
