node: log and measure what targets state for all nodes together

A target may state in its responses a rate limit for all nodes together, and that it is about to leave. No node read either, so the logs of an incident couldn't tell whether the statement was unread, kept by each node for itself, or lost in a restart.

The adapter decodes both once, into roster.Statement; values that can't be read are logged. The node beside the target logs changes and, while a limit is stated, the calls sent in each second; two gauges show the same. No decision depends on it yet.

--- a/node/delivery.go
+++ b/node/delivery.go
@@ -49,6 +49,7 @@
 		waiting       map[*limiter.Item]chan struct{}
 		stoppingSince time.Time // when the node announced its stop, zero if it didn't
 		drainTime     time.Duration
+		statementLog  statementLog
 	}
 }
 
@@ -139,9 +140,11 @@
 	deadline := d.now().Add(c.RemainingTime)
 	item := &limiter.Item{Priority: c.Priority, Deadline: deadline}
 	if refused := d.acquireSlot(ctx, c, item); refused != nil {
+		d.countRefused()
 		return d.finish(refused, c)
 	}
 	started := d.now()
+	d.countSent()
 	endRun := d.tables.beginRun(c.Route, deadline, callgraph.Importance{Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited})
 	reply := d.send(ctx, c, deadline)
 	reply.Duration = d.now().Sub(started)
@@ -272,6 +275,7 @@
 		ID: c.RequestID, TargetID: c.TargetID, Method: c.Method, URI: c.URI, Host: c.Host,
 		Header: c.Header, Body: c.Body, RemainingTime: remaining, CallerService: c.CallerService,
 	})
+	d.observeResponse(c, response)
 	switch {
 	case err == nil && response.Status < http.StatusMultipleChoices && !response.Fields.Signed:
 		// A success without the target's signature was corrupted on its way, so it
--- a/node/egress/dialect.go
+++ b/node/egress/dialect.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/gypsumford/gypsumford/roster"
 )
 
 // Request is one request to the target.
@@ -23,6 +25,7 @@
 	RequestID string
 	Signed    bool // the response has the signature of a target, which generated it
 	NotRun    bool // the target hasn't started to run the request and never will
+	Statement roster.Statement
 }
 
 // Dialect writes the header fields of requests and reads those of responses.
--- a/node/log.go
+++ b/node/log.go
@@ -67,6 +67,19 @@
 		"born", r.Target.Born, "slots", r.Target.Slots, "sequence", r.Sequence)
 }
 
+// statementChanged logs that the local target changed what it states for all nodes.
+func (l decisionLog) statementChanged(c *link.Call, before, after roster.Statement) {
+	l.Info("target statement changed", "target", c.TargetID, "request", c.RequestID,
+		"limited", after.HasRateLimit, "rateLimit", after.RateLimit, "wasLimited", before.HasRateLimit,
+		"leaving", after.Leaving, "wasLeaving", before.Leaving)
+}
+
+// targetLimited logs how many calls a target got that limits its rate.
+func (l decisionLog) targetLimited(target string, rateLimit float64, sent, refused, running, waiting int) {
+	l.Info("target limits its rate", "target", target, "rateLimit", rateLimit, "sent", sent, "refused", refused,
+		"running", running, "waiting", waiting)
+}
+
 func (l decisionLog) peerChanged(r *roster.Record, from string) {
 	l.Info("peer changed", "instance", r.Instance, "incarnation", r.Incarnation, "sequence", r.Sequence,
 		"target", r.Target.ID, "state", r.Target.State.String(), "leaving", r.Leaving, "from", from)
--- a/node/node.go
+++ b/node/node.go
@@ -201,6 +201,13 @@
 	n.metrics.gauges["requests_in_flight"] = func() int64 { return int64(n.ingress.InFlight()) }
 	n.metrics.gauges["target_running"] = func() int64 { load, _ := n.delivery.load(); return int64(load.Running) }
 	n.metrics.gauges["target_waiting"] = func() int64 { load, _ := n.delivery.load(); return int64(load.Waiting) }
+	n.metrics.gauges["target_rate_limit_milli"] = func() int64 { return int64(n.delivery.stated().RateLimit * 1000) }
+	n.metrics.gauges["target_states_leaving"] = func() int64 {
+		if n.delivery.stated().Leaving {
+			return 1
+		}
+		return 0
+	}
 	if n.platform.LinesOmitted != nil {
 		n.metrics.gauges["log_lines_omitted"] = func() int64 { return int64(n.platform.LinesOmitted()) }
 	}
@@ -223,6 +230,7 @@
 	go periodic.Every(background, link.TickInterval, n.links.Tick)
 	go periodic.Every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
 	go periodic.Every(background, restrictionLogInterval, n.logRestrictions)
+	go periodic.Every(background, statementLogInterval, n.delivery.logLimited)
 	go periodic.Every(background, targetCheckInterval, n.expireTarget)
 	go periodic.Every(background, idleCheckInterval, n.delivery.pool.CloseExpired)
 	go periodic.Every(background, pruneInterval, n.tables.retainTargets)
