roster: a target that deregisters after it expired stays deregistered

Seen by the new rapid machine on the code before: heartbeats stop long enough for the target to expire, it deregisters, and a heartbeat that was under way makes it ready again. The platform had an acknowledgement of the deregistration, and callers' requests would have gone to a target that leaves.

Cause: Deregister ignored a target that was already absent, whatever the reason. It now ignores only one that has deregistered.

--- a/roster/own.go
+++ b/roster/own.go
@@ -119,7 +119,7 @@
 		l.recordDeregistered(now, id)
 		return false
 	}
-	if l.target.State == Absent {
+	if l.target.Leaving && l.target.State == Absent {
 		return false
 	}
 	if l.drainStart.IsZero() {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -49,6 +49,16 @@
 		So(target.State, ShouldEqual, Absent)
 		So(drainStart, ShouldEqual, start.Add(time.Second))
 	})
+	Convey("A target that deregisters after its heartbeats stopped isn't used again", t, func() {
+		local := NewLocalTarget(interval)
+		local.Heartbeat(start, ready("a", 100, 1))
+		local.Expire(start.Add(5 * interval))
+		So(local.Deregister(start.Add(6*interval), "a"), ShouldBeTrue)
+		local.Heartbeat(start.Add(7*interval), ready("a", 100, 2))
+		target, drainStart := local.Target()
+		So(target.State, ShouldNotEqual, Ready)
+		So(drainStart, ShouldEqual, start.Add(6*interval))
+	})
 	Convey("The deregistration of another target changes nothing", t, func() {
 		local := NewLocalTarget(interval)
 		local.Heartbeat(start, ready("a", 100, 1))
--- a/roster/statement_test.go
+++ b/roster/statement_test.go
@@ -156,6 +156,12 @@
 					m.publish()
 				}
 			},
+			"expire": func(*rapid.T) {
+				m.now = m.now.Add(10 * interval)
+				if m.local.Expire(m.now) {
+					m.publish()
+				}
+			},
 			"restart of the node": func(t *rapid.T) {
 				m.local, m.node, m.sent = NewLocalTarget(interval), m.node+1, 0
 				if rapid.Bool().Draw(t, "heartbeat first") {
