--- a/node/delivery.go
+++ b/node/delivery.go
@@ -57,6 +57,7 @@
 		calls         callCounts
 		// invalidLoggedAt is when a statement that can't be read was last logged.
 		invalidLoggedAt time.Time
+		limitLoggedAt   time.Time // when a change of the rate limit was last logged
 	}
 }
 
--- a/node/statement.go
+++ b/node/statement.go
@@ -10,7 +10,8 @@
 )
 
 // statementLogInterval is the time between log lines on the calls of a target that limits
-// its rate, and between those on statements that can't be read.
+// its rate, and the least time between those on statements that can't be read and between
+// those on a limit that comes and goes.
 const statementLogInterval = 1 * time.Second
 
 // callCounts counts the calls for the local target since the last log line on them.
@@ -49,7 +50,9 @@
 	after, _ := d.mu.local.Target()
 	d.mu.limiter.SetRateLimit(now, after.RateLimit)
 	d.wake()
-	if (before.RateLimit > 0) != (after.RateLimit > 0) || before.Leaving != after.Leaving {
+	limitChanged := (before.RateLimit > 0) != (after.RateLimit > 0) && now.Sub(d.mu.limitLoggedAt) >= statementLogInterval
+	if limitChanged || before.Leaving != after.Leaving {
+		d.mu.limitLoggedAt = now
 		d.log.statementChanged(&before, &after, why)
 	}
 }
--- a/node/tables_test.go
+++ b/node/tables_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/roster"
 )
 
 func TestPressuresOnTheWire(t *testing.T) {
@@ -55,3 +57,29 @@
 		So(observedAt, ShouldEqual, now.Add(-10*time.Millisecond))
 	})
 }
+
+// Guards against requests that are refused at the entry because one target of a service
+// states a rate limit, although the others have room.
+func TestPressureOfALimitedTargetCountsOnlyIfAllAreLimited(t *testing.T) {
+	now := time.Unix(1000, 0)
+	reply := &link.Reply{
+		Stated: &link.Statement{Born: 1, RateLimit: 5},
+		Views:  []link.ServiceView{{Service: "front", Requests: 1, Pressures: encodePressures(loadshed.Uniform(3))}},
+	}
+	for _, c := range []struct {
+		otherLimit float64
+		counts     bool
+	}{{0, false}, {8, true}} {
+		Convey("Targets a, with a rate limit, and b: "+fmt.Sprint(c.otherLimit), t, func() {
+			tables := newTables(&Settings{Service: "front"}, 0)
+			for instance, rateLimit := range map[string]float64{"a": 5, "b": c.otherLimit} {
+				tables.mu.roster.Update(roster.Record{Instance: instance, Incarnation: 1, Target: roster.Target{
+					ID: instance, Born: 1, Service: "front", State: roster.Ready, RateLimit: rateLimit,
+				}})
+			}
+			tables.recordReply(now, "lookup", "front", reply)
+			_, _, known := tables.mu.shed.Pressures(now, "front")
+			So(known, ShouldEqual, c.counts)
+		})
+	}
+}
