node: no slack of the retry budget before the other nodes are known

Cause: the number of sharers was that of the records known so far. Until the records of all nodes were read, from the store or from a peer's state, the node now keeps to the ratio of its own requests. The test failed before and passes.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -227,7 +227,7 @@
 	if !ok {
 		return choice, false
 	}
-	if r.arrivals > 0 && !t.mu.retryBudget.AllowRetry(now, max(t.mu.roster.Len(), 1), retrybudget.Importance{Priority: r.priority, Rank: r.rank}, d.retryCharges(r)) {
+	if r.arrivals > 0 && !t.allowRetry(now, retrybudget.Importance{Priority: r.priority, Rank: r.rank}, d.retryCharges(r)) {
 		return choice, false
 	}
 	t.mu.balance.Sent(now, choice.Record.Target.ID)
--- a/node/peers.go
+++ b/node/peers.go
@@ -117,6 +117,9 @@
 	for _, r := range s.Records {
 		n.updateRecord(r, "peer")
 	}
+	if len(s.Records) > 0 {
+		n.tables.recordsKnown()
+	}
 }
 
 // configurationsReceived handles configurations that were read from the store.
@@ -151,6 +154,7 @@
 	for i := range state {
 		n.updateRecord(state[i].Value, "store")
 	}
+	n.tables.recordsKnown()
 }
 
 // recordsChanged updates the roster with changed records and passes them on to peers,
--- a/node/tables.go
+++ b/node/tables.go
@@ -32,10 +32,15 @@
 		origins      *callgraph.Origins
 		costs        *loadshed.Costs
 		routeOrigins map[string]callgraph.Origin // who sends the requests of each route, as replies reported
+		allKnown     bool                        // the records of all nodes were read since the start
 	}
 	inForce atomic.Pointer[route.Configuration] // nil until the first is received
 }
 
+// maxSharers is the number of nodes that are assumed to share the slack of the retry budget
+// until their records were read. Their part of it is then less than one retry.
+const maxSharers = 1 << 20
+
 // newTables returns empty tables. start, from 0 to 1, is where the splitter's sequences
 // begin.
 func newTables(s *Settings, start float64) *tables {
@@ -180,6 +185,23 @@
 	t.mu.shed.Refused(now, service, priority)
 }
 
+// allowRetry reports whether the retry budgets of all charged services allow a retry, and
+// spends the charges if so. The lock is held.
+func (t *tables) allowRetry(now time.Time, importance retrybudget.Importance, charges []retrybudget.Charge) bool {
+	sharers := max(t.mu.roster.Len(), 1)
+	if !t.mu.allKnown {
+		sharers = maxSharers
+	}
+	return t.mu.retryBudget.AllowRetry(now, sharers, importance, charges)
+}
+
+// recordsKnown records that the records of all nodes were read.
+func (t *tables) recordsKnown() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mu.allKnown = true
+}
+
 // slowStartEnded records the end of a request that was admitted before its route's cost
 // was known.
 func (t *tables) slowStartEnded(routeName string, served bool) {
--- a/node/tables_test.go
+++ b/node/tables_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/retrybudget"
 	"github.com/gypsumford/gypsumford/roster"
 )
 
@@ -83,3 +84,32 @@
 		})
 	}
 }
+
+// Guards against retries beyond the budget of all nodes after many nodes restart at once:
+// one that doesn't know the others yet took the whole slack for itself.
+func TestSlackOfTheRetryBudgetBeforeTheOtherNodesAreKnown(t *testing.T) {
+	granted := func(tables *tables) (granted int) {
+		charge := []retrybudget.Charge{{Service: "front", Requests: 1}}
+		for range 100 {
+			if tables.allowRetry(time.Unix(1000, 0), retrybudget.Importance{}, charge) {
+				granted++
+			}
+		}
+		return granted
+	}
+	settings := &Settings{Name: "n0", Service: "front", RetryBudget: retrybudget.Config{Slack: 50, Window: 10 * time.Second}}
+	record := func(i int) roster.Record { return roster.Record{Instance: fmt.Sprint("n", i), Incarnation: 1} }
+	Convey("A node that knows itself alone, and has read no records, retries nothing beyond the ratio", t, func() {
+		tables := newTables(settings, 0)
+		tables.mu.roster.Update(record(0))
+		So(granted(tables), ShouldEqual, 0)
+	})
+	Convey("Once it knows all ten, it takes a part", t, func() {
+		tables := newTables(settings, 0)
+		for i := range 10 {
+			tables.mu.roster.Update(record(i))
+		}
+		tables.mu.allKnown = true
+		So(granted(tables), ShouldBeBetween, 0, 6)
+	})
+}
