node, roster: a statement belongs to the incarnation that was asked; rates from peers are bounded

Found by reading. A response that is read after its target had started again under the same ID would have counted as one of the new incarnation, and a new target as leaving for good. The incarnation is now that at the time of sending. A rate limit that a peer's record states may be no number; JSON can't hold it, so the node's own record couldn't have been published any more. TestRateLimitOfTheLocalTarget has the values now (NaN, negative, infinite).

--- a/node/delivery.go
+++ b/node/delivery.go
@@ -319,12 +319,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	sentAt := d.now()
+	sentTo, sentAt := d.target(), d.now()
 	response, err := d.sender.Send(ctx, &egress.Request{
 		ID: c.RequestID, TargetID: c.TargetID, Method: c.Method, URI: c.URI, Host: c.Host,
 		Header: c.Header, Body: c.Body, RemainingTime: remaining, CallerService: c.CallerService,
 	})
-	d.observeResponse(c, sentAt, response)
+	d.observeResponse(c, sentTo, sentAt, response)
 	switch {
 	case err == nil && response.Status < http.StatusMultipleChoices && !response.Fields.Signed:
 		// A success without the target's signature was corrupted on its way, so it
--- a/node/statement.go
+++ b/node/statement.go
@@ -18,26 +18,22 @@
 type callCounts struct{ sent, refused int }
 
 // observeResponse updates the local target from what it states in a response to a call that
-// was sent at sentAt.
-func (d *delivery) observeResponse(c *link.Call, sentAt time.Time, response *egress.Response) {
-	if response == nil || response.Status == http.StatusMisdirectedRequest {
+// was sent to it at sentAt, in the incarnation to.
+func (d *delivery) observeResponse(c *link.Call, to roster.Target, sentAt time.Time, response *egress.Response) {
+	if response == nil || response.Status == http.StatusMisdirectedRequest || to.ID != c.TargetID {
 		return // another target responded
 	}
 	stated := response.Fields.Statement
 	now := d.now()
 	d.mu.Lock()
-	of, _ := d.mu.local.Target()
-	if of.ID != c.TargetID || now.Sub(sentAt) < 0 {
-		d.mu.Unlock()
-		return
-	}
+	before, _ := d.mu.local.Target()
 	if stated.Invalid != nil && now.Sub(d.mu.invalidLoggedAt) >= statementLogInterval {
 		d.mu.invalidLoggedAt = now
 		d.log.inputIgnored("statement of the target", stated.Invalid.Error(), "target", c.TargetID, "request", c.RequestID)
 	}
-	publish := d.mu.local.ObserveStatement(now, sentAt, of, stated)
+	publish := d.mu.local.ObserveStatement(now, sentAt, to, stated)
 	d.mu.limiter.EndSlowStart()
-	d.applyStatements(now, c.RequestID, of)
+	d.applyStatements(now, c.RequestID, before)
 	d.mu.Unlock()
 	if publish {
 		d.onTargetChanged()
--- a/roster/statement.go
+++ b/roster/statement.go
@@ -47,7 +47,7 @@
 func (l *LocalTarget) observeRate(now, sentAt time.Time, s Statement) {
 	rate := 0.0
 	if s.HasRateLimit {
-		rate = min(max(s.RateLimit, minRateLimit), maxRateLimit)
+		rate = boundRate(s.RateLimit)
 	}
 	current := l.target.RateLimit
 	isLower := rate > 0 && (current == 0 || rate <= current)
@@ -60,6 +60,9 @@
 	}
 }
 
+// boundRate returns the rate limit that is kept for a stated one.
+func boundRate(rate float64) float64 { return min(max(rate, minRateLimit), maxRateLimit) }
+
 // leave makes a target drain that stated that it leaves. It reports whether that is new.
 func (l *LocalTarget) leave(now time.Time) bool {
 	if l.target.Leaving {
@@ -94,7 +97,8 @@
 // ObserveEarlier records what the target stated before this process was started, as the
 // store or a peer knows it. It reports whether the target's state changed.
 func (l *LocalTarget) ObserveEarlier(t Target) bool {
-	if !t.isLeaving() && t.RateLimit == 0 {
+	hasRateLimit := t.RateLimit > 0 // peers may send what is no rate
+	if !t.isLeaving() && !hasRateLimit {
 		return false
 	}
 	if !t.sameIncarnation(&l.earlier) {
@@ -104,7 +108,9 @@
 		l.earlier = Target{ID: t.ID, Born: t.Born}
 	}
 	l.earlier.Leaving = l.earlier.Leaving || t.isLeaving()
-	l.earlier.RateLimit = lowerRate(l.earlier.RateLimit, t.RateLimit)
+	if hasRateLimit {
+		l.earlier.RateLimit = lowerRate(l.earlier.RateLimit, boundRate(t.RateLimit))
+	}
 	return l.target.sameIncarnation(&l.earlier) && l.applyEarlier()
 }
 
--- a/roster/statement_test.go
+++ b/roster/statement_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -73,7 +74,7 @@
 	Convey("After a restart the lowest limit that others know holds until the first response", t, func() {
 		local := NewLocalTarget(interval)
 		earlier := ready("a", 100, 9)
-		for _, rate := range []float64{30, 10, 0, 20} {
+		for _, rate := range []float64{30, math.NaN(), 10, 0, -4, math.Inf(1), 20} {
 			earlier.RateLimit = rate
 			local.ObserveEarlier(earlier)
 		}
