--- a/roster/statement_test.go
+++ b/roster/statement_test.go
@@ -122,7 +122,7 @@
 		}
 		heartbeat(Ready)
 		t.Repeat(map[string]func(*rapid.T){
-			"heartbeat": func(*rapid.T) { heartbeat(Ready) },
+			"heartbeat":         func(*rapid.T) { heartbeat(Ready) },
 			"delayed heartbeat": func(*rapid.T) { m.sequence++ },
 			"late heartbeat": func(t *rapid.T) {
 				late := ready("a", m.born, rapid.Uint64Range(1, m.sequence).Draw(t, "sequence"))
