epoch, node: log and measure the store's epoch and the records that it lacks

Cause: when the store came back from a copy, no line of log named the history that a state was read from, nor what the store lacked of what nodes had written, so the incident's hypotheses couldn't be told apart. Change: the header with the epoch is decoded from every response, in platform alone; package epoch evaluates it; nodes log it and the number of records missing in the store. No decision changes.

--- a/cmd/gypsumd/sidecar.go
+++ b/cmd/gypsumd/sidecar.go
@@ -67,6 +67,7 @@
 		Dialect:        platform.Dialect{},
 		Configurations: &platform.Configurations{Client: client},
 		Directory:      &platform.Instances{Client: client},
+		Epochs:         client,
 		Heartbeats:     func(n *node.Node) http.Handler { return platform.HeartbeatHandler(n) },
 		Ready:          platform.ReadyHandler,
 		LinesOmitted:   logWriter.Omitted,
--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -15,6 +15,7 @@
 	"balance",
 	"call",
 	"callgraph",
+	"epoch",
 	"fleet",
 	"inventory",
 	"limiter",
--- a/node/log.go
+++ b/node/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/limiter"
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/ingress"
@@ -97,6 +98,21 @@
 	l.Info("dependency regained", "dependency", name)
 }
 
+// storeEpoch logs what a response of the store showed about its epoch.
+func (l decisionLog) storeEpoch(c epoch.Change) {
+	text := ""
+	if c.Err != nil {
+		text = c.Err.Error()
+	}
+	l.Info("store epoch", "finding", c.Finding.String(), "from", c.From.String(), "stated", c.To.String(), "error", text)
+}
+
+// recordsMissing logs how many records the store lacks, or holds in an older version than the
+// node knows, and what it holds of the node's own.
+func (l decisionLog) recordsMissing(missing, known int, own string, current epoch.ID) {
+	l.Info("records missing in the store", "missing", missing, "known", known, "own", own, "epoch", current.String())
+}
+
 func (l decisionLog) inputIgnored(what, why string, more ...any) {
 	l.Info("input ignored", append([]any{"input", what, "why", why}, more...)...)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/internal/periodic"
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/egress"
@@ -94,11 +95,20 @@
 	Publish(ctx context.Context, r roster.Record) error
 }
 
+// Epochs reports the epoch of the platform's store.
+type Epochs interface {
+	// Epoch returns the current epoch.
+	Epoch() epoch.ID
+	// OnChange calls f whenever a response of the store shows something new about it.
+	OnChange(f func(epoch.Change))
+}
+
 // Platform holds the interfaces between the node and the platform that it runs on.
 type Platform struct {
 	Dialect        Dialect
 	Configurations store.Source[*route.Configuration]
 	Directory      Directory
+	Epochs         Epochs
 	// Heartbeats returns the handler for the target's heartbeats, and Ready the handler
 	// for the platform's readiness probes.
 	Heartbeats func(n *Node) http.Handler
@@ -130,6 +140,9 @@
 	// lastRecordRead is when the node last read the records because a service had no
 	// target, in Unix nanoseconds.
 	lastRecordRead atomic.Int64
+	// recordsMissing is the number of instances of which the store, when it was last read,
+	// held no record or an older one than the node knows.
+	recordsMissing atomic.Int64
 	mu             struct {
 		sync.Mutex
 		record roster.Record
@@ -156,6 +169,7 @@
 	}
 	n.buildFollowers()
 	n.addGauges()
+	p.Epochs.OnChange(n.epochChanged)
 	return n
 }
 
@@ -199,6 +213,8 @@
 func (n *Node) addGauges() {
 	n.metrics.gauges["configuration_version"] = func() int64 { return int64(n.Version()) }
 	n.metrics.gauges["instances"] = func() int64 { return int64(n.instances()) }
+	n.metrics.gauges["store_epoch"] = func() int64 { return int64(n.platform.Epochs.Epoch()) }
+	n.metrics.gauges["store_records_missing"] = func() int64 { return n.recordsMissing.Load() }
 	n.metrics.gauges["requests_in_flight"] = func() int64 { return int64(n.ingress.InFlight()) }
 	n.metrics.gauges["target_running"] = func() int64 { load, _, _ := n.delivery.load(); return int64(load.Running) }
 	n.metrics.gauges["target_waiting"] = func() int64 { load, _, _ := n.delivery.load(); return int64(load.Waiting) }
--- a/node/peers.go
+++ b/node/peers.go
@@ -151,6 +151,7 @@
 // recordsRead updates the roster with the records of all nodes. They aren't passed on,
 // as the other nodes read them, too.
 func (n *Node) recordsRead(state []store.Change[roster.Record]) {
+	n.countMissing(state)
 	for i := range state {
 		n.updateRecord(state[i].Value, "store")
 	}
@@ -191,3 +192,32 @@
 	}
 	return updated
 }
+
+// countMissing counts the records that the store lacks, or holds in an older version than
+// the node knows, and logs a change of their number.
+func (n *Node) countMissing(state []store.Change[roster.Record]) {
+	held := make(map[string]*roster.Record, len(state))
+	for i := range state {
+		held[state[i].Name] = &state[i].Value
+	}
+	n.tables.mu.Lock()
+	known := n.tables.mu.roster.All()
+	n.tables.mu.Unlock()
+	missing, own := 0, "current"
+	for i := range known {
+		r := held[known[i].Instance]
+		if r != nil && !known[i].Newer(r) {
+			continue
+		}
+		missing++
+		if known[i].Instance == n.settings.Name {
+			own = "older"
+			if r == nil {
+				own = "missing"
+			}
+		}
+	}
+	if before := n.recordsMissing.Swap(int64(missing)); before != int64(missing) {
+		n.log.recordsMissing(missing, len(known), own, n.platform.Epochs.Epoch())
+	}
+}
