--- /dev/null
+++ b/agent/restored_test.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/gypsumford/gypsumford/objects"
+	"github.com/gypsumford/gypsumford/platform"
+)
+
+// inventoryWith returns the test inventory with an operation of the name in place of "look".
+func inventoryWith(operation string) []byte {
+	return []byte(strings.Replace(testInventory, "name: look", "name: "+operation, 1))
+}
+
+// inForce returns a condition: the node's inventory has the operation.
+func inForce(n *testNode, operation string) func() (bool, any) {
+	return func() (bool, any) {
+		got := n.call("shop/" + operation)
+		return got.status == http.StatusOK, got
+	}
+}
+
+// replace replaces an object, whatever its version.
+func (f *fakePlatform) replace(key string, value []byte) objects.Object {
+	store := platform.NewObjects(f.store.URL)
+	current, err := store.Get(context.Background(), key)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := store.Put(context.Background(), key, value, current.Version); err != nil {
+		f.t.Fatal(err)
+	}
+	if current, err = store.Get(context.Background(), key); err != nil {
+		f.t.Fatal(err)
+	}
+	return current
+}
+
+// Guards against inventories that are ordered by the store's revision across a restore, which
+// gives revisions out again: the inventory that is written then is taken for an old one.
+func TestInventoryWithARevisionThatWasUsedBeforeTheRestore(t *testing.T) {
+	fake, url := newFakePlatform(t)
+	fake.put(ConfigKey, inventoryWith("first"))
+	early := fake.store.Copy()
+	shop := startNode(t, url, "shop", countStock)
+	until(t, "the first inventory is in force", inForce(shop, "first"))
+	fake.replace(ConfigKey, inventoryWith("second"))
+	until(t, "the second inventory is in force", inForce(shop, "second"))
+	fake.store.Restore(early)
+	fake.replace(ConfigKey, inventoryWith("third"))
+	until(t, "the inventory that was written after the restore is in force", inForce(shop, "third"))
+}
+
+// Guards against refused inventories that are remembered by the store's revision: after a
+// restore a valid one with the same revision was refused, too.
+func TestValidInventoryWithTheRevisionOfARefusedOne(t *testing.T) {
+	fake, url := newFakePlatform(t)
+	fake.put(ConfigKey, inventoryWith("first"))
+	early := fake.store.Copy()
+	shop := startNode(t, url, "shop", countStock)
+	until(t, "the first inventory is in force", inForce(shop, "first"))
+	refused := fake.replace(ConfigKey, []byte("classes: 7\n"))
+	until(t, "the invalid inventory is refused", func() (bool, any) {
+		shop.agent.configurations.mu.Lock()
+		defer shop.agent.configurations.mu.Unlock()
+		counters := shop.agent.configurations.mu.table.Counters()
+		return counters.Invalid > 0, counters
+	})
+	fake.store.Restore(early)
+	written := fake.replace(ConfigKey, inventoryWith("first"))
+	for i := 0; written.Version+1 < refused.Version; i++ {
+		fake.store.Put("test", "filler", i) // takes the next revision
+		written.Version++
+	}
+	written = fake.replace(ConfigKey, inventoryWith("third"))
+	if written.Version != refused.Version {
+		t.Fatalf("the valid inventory has version %v, the refused one had %v", written.Version, refused.Version)
+	}
+	until(t, "the valid inventory is in force", inForce(shop, "third"))
+}
+
+// Guards against an agent that starts after a restore, takes the store for authoritative, and
+// serves by an inventory that the others have replaced; and against seed objects that nobody
+// writes again.
+func TestAgentThatStartsAfterARestore(t *testing.T) {
+	fake, url := newFakePlatform(t)
+	fake.put(ConfigKey, inventoryWith("first"))
+	early := fake.store.Copy()
+	shop := startNode(t, url, "shop", countStock)
+	stock := startNode(t, url, "stock", countStock)
+	fake.replace(ConfigKey, inventoryWith("second"))
+	for _, node := range []*testNode{shop, stock} {
+		until(t, "the second inventory is in force", inForce(node, "second"))
+	}
+	fake.setDown(true)
+	fake.store.Restore(early)
+	fake.setDown(false)
+	late := startNode(t, url, "stock", countStock)
+	var got callResult
+	until(t, "the new agent serves callers", func() (bool, any) {
+		got = late.call("shop/first")
+		return got.status != 0 && got.reason != "starting", got
+	})
+	if got.reason != "unknown-operation" {
+		t.Errorf("an agent that has just become ready serves by the first inventory while the second is in force: %+v", got)
+	}
+	until(t, "the new agent has the second inventory in force", inForce(late, "second"))
+}
