epoch, republish, node: write to a restored store what it has forgotten

Cause: a node wrote its record when it changed, and took a write that the store had confirmed for permanent. Revisions were plain numbers, so a watch could go on in another history than the one that its revision was read from. Change: a revision names its epoch; a watch, a list or a conditional write that crosses a restore, and a late response of an earlier epoch, end with ErrRestored. On a new epoch a follower reads the whole state, each node writes its record again within 5 ms times the instances (200 writes a second in any fleet), and peers tell each other the epoch. Package republish decides which records of nodes that are gone the others write, so that a target that left doesn't come back. A node whose own record the store lacks or holds in an older version, for whatever reason, writes it after 5 s.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -44,6 +45,10 @@
 	ReceiveVersion(v route.Version, pull func())
 	// Record returns the record that the node publishes of itself.
 	Record() roster.Record
+	// StoreEpoch returns the epoch of the platform's store, and ReceiveStoreEpoch is called
+	// with the one that a peer knows.
+	StoreEpoch() epoch.ID
+	ReceiveStoreEpoch(reported epoch.ID)
 	// ReceiveRecord is called with a record that a peer sends: its own, one that it
 	// passes on, or what it knows of this node.
 	ReceiveRecord(r roster.Record)
@@ -91,6 +96,7 @@
 		sync.Mutex
 		pending     map[uint64]*pendingCall       // calls to the peer, by ID
 		serving     map[uint64]context.CancelFunc // calls from the peer, by the ID that the peer chose
+		pulls       []chan struct{}               // each is closed when the peer's state has been received
 		nextID      uint64
 		ended       bool
 		silentTicks int // ticks without a frame from the peer
@@ -225,6 +231,7 @@
 	case f.Ping:
 		c.send(outgoing{frame: frame{Pong: true}})
 	case f.Hello != nil:
+		c.node.ReceiveStoreEpoch(f.Hello.StoreEpoch)
 		c.node.ReceiveRecord(f.Hello.Record)
 	case f.Pull:
 		c.send(outgoing{frame: frame{State: c.node.State(f.Version == 0)}})
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumford/gypsumford/callgraph"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -144,7 +145,10 @@
 
 // Hello carries a record: that of the sender, when a connection opens and when the
 // record changes, or one of another node that the sender passes on.
-type Hello struct{ Record roster.Record }
+type Hello struct {
+	Record     roster.Record
+	StoreEpoch epoch.ID // of the platform's store, as the sender knows it
+}
 
 // State is the reply to a pull.
 type State struct {
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -118,9 +118,9 @@
 	}
 	c := newConn(p.node, socket)
 	r.mu.conn, r.mu.redialDelay = c, 0
-	c.send(outgoing{frame: frame{Hello: &Hello{Record: p.node.Record()}}})
+	c.send(outgoing{frame: frame{Hello: p.hello(p.node.Record())}})
 	if stated, ok := p.node.StatedBeside(address); ok {
-		c.send(outgoing{frame: frame{Hello: &Hello{Record: stated}}})
+		c.send(outgoing{frame: frame{Hello: p.hello(stated)}})
 	}
 	go c.run()
 	return c, nil
@@ -188,7 +188,7 @@
 	p.mu.Lock()
 	p.mu.inbound[c] = struct{}{}
 	p.mu.Unlock()
-	c.send(outgoing{frame: frame{Hello: &Hello{Record: p.node.Record()}}})
+	c.send(outgoing{frame: frame{Hello: p.hello(p.node.Record())}})
 	go func() {
 		c.run()
 		p.mu.Lock()
@@ -197,9 +197,13 @@
 	}()
 }
 
+func (p *Pool) hello(r roster.Record) *Hello {
+	return &Hello{Record: r, StoreEpoch: p.node.StoreEpoch()}
+}
+
 // Announce sends the node's record to all connected peers.
 func (p *Pool) Announce() {
-	hello := &Hello{Record: p.node.Record()}
+	hello := p.hello(p.node.Record())
 	for _, c := range p.openConns() {
 		c.send(outgoing{frame: frame{Hello: hello}})
 	}
@@ -207,7 +211,7 @@
 
 // Gossip sends a record to gossipFanout connected peers, chosen at random.
 func (p *Pool) Gossip(r roster.Record) {
-	hello := &Hello{Record: r}
+	hello := p.hello(r)
 	conns := p.openConns()
 	for i := range min(gossipFanout, len(conns)) {
 		j := i + rand.IntN(len(conns)-i)
--- a/node/link/pool_test.go
+++ b/node/link/pool_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -53,6 +54,10 @@
 }
 
 func (n *fakeNode) StatedBeside(string) (roster.Record, bool) { return roster.Record{}, false }
+func (n *fakeNode) StoreEpoch() epoch.ID                      { return epoch.Unknown }
+
+func (n *fakeNode) ReceiveStoreEpoch(epoch.ID) {}
+
 func (n *fakeNode) ReceiveRecord(r roster.Record) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/log.go
+++ b/node/log.go
@@ -113,6 +113,17 @@
 	l.Info("records missing in the store", "missing", missing, "known", known, "own", own, "epoch", current.String())
 }
 
+// recordWrittenAgain logs that a record is written to the store that it has forgotten.
+func (l decisionLog) recordWrittenAgain(instance, why string) {
+	l.Info("record written again", "instance", instance, "why", why)
+}
+
+// configurationOlder logs that the store holds an older configuration than the one in force,
+// as after a restore.
+func (l decisionLog) configurationOlder(held, inForce route.Version) {
+	l.Info("configuration in the store is older", "version", held, "inForce", inForce)
+}
+
 func (l decisionLog) inputIgnored(what, why string, more ...any) {
 	l.Info("input ignored", append([]any{"input", what, "why", why}, more...)...)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -90,9 +90,13 @@
 	store.Source[roster.Record]
 	// ReadStale is like Read, but may return records that are seconds old, which
 	// costs the store less.
-	ReadStale(ctx context.Context) ([]store.Change[roster.Record], store.Revision, error)
+	ReadStale(ctx context.Context) ([]store.Change[roster.Record], epoch.Revision, error)
 	// Publish writes the node's own record.
 	Publish(ctx context.Context, r roster.Record) error
+	// PublishIf writes the record of another node if the store's record of that instance
+	// is the one of the revision, or if it has none and the revision is zero. Otherwise it
+	// returns store.ErrConflict or store.ErrRestored.
+	PublishIf(ctx context.Context, r roster.Record, revision epoch.Revision) error
 }
 
 // Epochs reports the epoch of the platform's store.
@@ -143,9 +147,16 @@
 	// recordsMissing is the number of instances of which the store, when it was last read,
 	// held no record or an older one than the node knows.
 	recordsMissing atomic.Int64
-	mu             struct {
+	// lastEpochPoll is when the node last read the store because of an epoch that a peer
+	// reported, in Unix nanoseconds.
+	lastEpochPoll atomic.Int64
+	mu            struct {
 		sync.Mutex
-		record roster.Record
+		record      roster.Record
+		published   roster.Record // the one that was written to the store last
+		ownOutdated bool          // the store was seen to hold an older record than that, or none
+		// olderLogged are the versions that were last logged as older in the store than in force.
+		olderLogged [2]route.Version
 	}
 }
 
@@ -180,7 +191,9 @@
 
 func (n *Node) buildFollowers() {
 	n.configurations = store.NewFollower(n.platform.Configurations)
-	n.configurations.OnState, n.configurations.OnChange = n.configurationsReceived, n.configurationsReceived
+	n.configurations.OnChange = n.configurationsReceived
+	n.configurations.OnState = func(state []store.Change[*route.Configuration], _ epoch.ID) { n.configurationsReceived(state) }
+	n.configurations.RestorePause = func() time.Duration { return n.restorePause(1) }
 	n.configurations.MaxBackoff = n.backoffLimit
 	n.configurations.OnFailure = func(err error) { n.storeFailed("store: configuration", err) }
 	n.configurations.OnRecovery = func() { n.log.dependencyRegained("store: configuration") }
@@ -188,6 +201,7 @@
 	n.records.OnState, n.records.OnChange = n.recordsRead, n.recordsChanged
 	n.records.ReadAfterChange = n.platform.Directory.ReadStale
 	n.records.MaxBackoff = n.backoffLimit
+	n.records.RestorePause = func() time.Duration { return n.restorePause(1 + n.instances()/recordsPerPage) }
 	n.records.OnFailure = func(err error) { n.storeFailed("store: instances", err) }
 	n.records.OnRecovery = func() { n.log.dependencyRegained("store: instances") }
 	n.records.Pause = func() time.Duration {
@@ -214,6 +228,11 @@
 	n.metrics.gauges["configuration_version"] = func() int64 { return int64(n.Version()) }
 	n.metrics.gauges["instances"] = func() int64 { return int64(n.instances()) }
 	n.metrics.gauges["store_epoch"] = func() int64 { return int64(n.platform.Epochs.Epoch()) }
+	n.metrics.gauges["store_records_to_write"] = func() int64 {
+		n.tables.mu.Lock()
+		defer n.tables.mu.Unlock()
+		return int64(n.tables.mu.republish.Pending())
+	}
 	n.metrics.gauges["store_records_missing"] = func() int64 { return n.recordsMissing.Load() }
 	n.metrics.gauges["requests_in_flight"] = func() int64 { return int64(n.ingress.InFlight()) }
 	n.metrics.gauges["target_running"] = func() int64 { load, _, _ := n.delivery.load(); return int64(load.Running) }
@@ -244,6 +263,7 @@
 	go n.records.Run(background)
 	go n.publishLoop(background)
 	go n.poll(background)
+	go periodic.Every(background, republishInterval, n.writeForgotten)
 	go periodic.Every(background, link.TickInterval, n.links.Tick)
 	go periodic.Every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
 	go periodic.Every(background, restrictionLogInterval, n.logRestrictions)
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/node/link"
 	"github.com/gypsumford/gypsumford/node/store"
 	"github.com/gypsumford/gypsumford/roster"
@@ -126,11 +127,29 @@
 func (n *Node) configurationsReceived(changes []store.Change[*route.Configuration]) {
 	for _, change := range changes {
 		if !change.Deleted {
+			n.logOlder(change.Value.Version)
 			n.applyConfiguration(change.Value, "store")
 		}
 	}
 }
 
+// logOlder logs that the store holds an older configuration than the one in force, once for
+// each pair of versions.
+func (n *Node) logOlder(held route.Version) {
+	inForce := n.Version()
+	if held >= inForce {
+		return
+	}
+	pair := [2]route.Version{held, inForce}
+	n.mu.Lock()
+	logged := n.mu.olderLogged == pair
+	n.mu.olderLogged = pair
+	n.mu.Unlock()
+	if !logged {
+		n.log.configurationOlder(held, inForce)
+	}
+}
+
 // applyConfiguration brings a configuration into force, unless the one in force is as
 // new or newer.
 func (n *Node) applyConfiguration(c *route.Configuration, from string) {
@@ -150,8 +169,9 @@
 
 // recordsRead updates the roster with the records of all nodes. They aren't passed on,
 // as the other nodes read them, too.
-func (n *Node) recordsRead(state []store.Change[roster.Record]) {
+func (n *Node) recordsRead(state []store.Change[roster.Record], read epoch.ID) {
 	n.countMissing(state)
+	n.observeState(state, read)
 	for i := range state {
 		n.updateRecord(state[i].Value, "store")
 	}
@@ -162,6 +182,7 @@
 // which may not read the store for a while.
 func (n *Node) recordsChanged(changes []store.Change[roster.Record]) {
 	for i := range changes {
+		n.observeChange(&changes[i])
 		if changes[i].Deleted {
 			continue // nodes that send calls to the deleted node notice that it is unreachable
 		}
--- a/node/store/follower.go
+++ b/node/store/follower.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/epoch"
 )
 
 const (
@@ -23,8 +26,9 @@
 // OnChange, OnFailure and OnRecovery must be set before Run.
 type Follower[T any] struct {
 	Source Source[T]
-	// OnState receives the whole state after each read, OnChange the changes since then.
-	OnState  func([]Change[T])
+	// OnState receives the whole state after each read, with its epoch, and OnChange the
+	// changes since then.
+	OnState  func(state []Change[T], read epoch.ID)
 	OnChange func([]Change[T])
 	// OnFailure is called after each call that failed, OnRecovery after the first read that
 	// succeeds again.
@@ -32,6 +36,9 @@
 	OnRecovery func()
 	// MaxBackoff returns the bound on the mean pause after failed calls. It is optional.
 	MaxBackoff func() time.Duration
+	// RestorePause returns how long to wait, after the store was restored, before the whole
+	// state is read, so that many nodes don't read at the same time. It is optional.
+	RestorePause func() time.Duration
 	// Pause returns how long to wait after a change before the whole state is read, so
 	// that many changes within a short time cost few calls. Without it, the follower waits for each
 	// change and doesn't read again. It is optional.
@@ -39,14 +46,16 @@
 	// ReadAfterChange replaces the source's Read after a change and its pause, unless Refresh
 	// ended the pause. It may return a state that is seconds old: the next wait continues
 	// from that state's revision, so no change is lost. It is optional.
-	ReadAfterChange func(ctx context.Context) ([]Change[T], Revision, error)
+	ReadAfterChange func(ctx context.Context) ([]Change[T], epoch.Revision, error)
 
-	refresh chan struct{}
+	refresh       chan struct{}
+	restored      atomic.Uint64 // the epoch that Restored was called with last, 0 if it wasn't
+	restoreSignal chan struct{}
 }
 
 // NewFollower returns a follower that isn't running.
 func NewFollower[T any](source Source[T]) *Follower[T] {
-	return &Follower[T]{Source: source, refresh: make(chan struct{}, 1)}
+	return &Follower[T]{Source: source, refresh: make(chan struct{}, 1), restoreSignal: make(chan struct{}, 1)}
 }
 
 // Refresh makes the follower read the source at once instead of waiting, because a peer has
@@ -58,6 +67,22 @@
 	}
 }
 
+// Restored makes the follower read the whole state of the epoch after RestorePause, unless it
+// has done so.
+func (f *Follower[T]) Restored(current epoch.ID) {
+	f.restored.Store(uint64(current))
+	select {
+	case f.restoreSignal <- struct{}{}:
+	default:
+	}
+}
+
+// isOutdated reports whether the store has begun another epoch since the given one.
+func (f *Follower[T]) isOutdated(read epoch.ID) bool {
+	current := epoch.ID(f.restored.Load())
+	return current != epoch.Unknown && current != read
+}
+
 // Poll reads the source once, concurrently with Run's wait for changes. It ignores errors,
 // because Run's own calls fail in the same way and report them.
 func (f *Follower[T]) Poll(ctx context.Context) {
@@ -69,9 +94,17 @@
 	backoff := minBackoff
 	failing := false
 	read := f.Source.Read
+	lastRead := epoch.Unknown
 	for ctx.Err() == nil {
+		if f.isOutdated(lastRead) {
+			read = f.Source.Read // the state of another epoch may be older than what is known
+			f.pauseAfterRestore(ctx)
+		}
 		revision, err := f.readAll(ctx, read)
 		read = f.Source.Read
+		if err == nil {
+			lastRead = revision.Epoch
+		}
 		for err == nil && ctx.Err() == nil {
 			if failing {
 				failing = false
@@ -92,6 +125,10 @@
 		if ctx.Err() != nil || err == nil || errors.Is(err, errRefresh) || errors.Is(err, ErrCompacted) {
 			continue
 		}
+		if errors.Is(err, ErrRestored) {
+			f.sleep(ctx, minBackoff/2+rand.N(minBackoff)) // bounds the calls to a store that keeps changing
+			continue
+		}
 		failing = true
 		f.OnFailure(err)
 		f.sleep(ctx, backoff/2+rand.N(backoff)) // random, so that the nodes don't call at the same time
@@ -99,6 +136,17 @@
 	}
 }
 
+// pauseAfterRestore waits for RestorePause.
+func (f *Follower[T]) pauseAfterRestore(ctx context.Context) {
+	if f.RestorePause == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.RestorePause()):
+	}
+}
+
 func (f *Follower[T]) maxBackoff() time.Duration {
 	if f.MaxBackoff == nil {
 		return maxBackoff
@@ -106,14 +154,14 @@
 	return f.MaxBackoff()
 }
 
-func (f *Follower[T]) readAll(ctx context.Context, read func(context.Context) ([]Change[T], Revision, error)) (Revision, error) {
+func (f *Follower[T]) readAll(ctx context.Context, read func(context.Context) ([]Change[T], epoch.Revision, error)) (epoch.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	state, revision, err := read(ctx)
 	if err != nil {
-		return 0, err
+		return epoch.Revision{}, err
 	}
-	f.OnState(state)
+	f.OnState(state, revision.Epoch)
 	return revision, nil
 }
 
@@ -122,27 +170,22 @@
 
 // wait passes the changes since the revision to OnChange. It returns the revision to continue
 // from and whether there were changes.
-func (f *Follower[T]) wait(ctx context.Context, since Revision) (Revision, bool, error) {
+func (f *Follower[T]) wait(ctx context.Context, since epoch.Revision) (epoch.Revision, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxWait+responseMargin)
 	defer cancel()
 	refreshed := make(chan bool, 1)
 	done := make(chan struct{})
 	go func() {
-		select {
-		case <-f.refresh:
-			refreshed <- true
-			cancel()
-		case <-done:
-			refreshed <- false
-		}
+		refreshed <- f.awaitRefresh(since.Epoch, done)
+		cancel()
 	}()
 	changes, revision, err := f.Source.Wait(ctx, since, maxWait)
 	close(done)
 	if <-refreshed && err != nil {
-		return 0, false, errRefresh
+		return epoch.Revision{}, false, errRefresh
 	}
 	if err != nil {
-		return 0, false, err
+		return epoch.Revision{}, false, err
 	}
 	if len(changes) > 0 {
 		f.OnChange(changes)
@@ -150,14 +193,30 @@
 	return revision, len(changes) > 0, nil
 }
 
-// sleep waits for the time, until Refresh is called or until the context ends. It reports
-// whether Refresh was called.
+// awaitRefresh waits until the whole state is to be read again, and returns true, or until
+// done is closed.
+func (f *Follower[T]) awaitRefresh(read epoch.ID, done <-chan struct{}) bool {
+	for !f.isOutdated(read) {
+		select {
+		case <-f.refresh:
+			return true
+		case <-f.restoreSignal:
+		case <-done:
+			return false
+		}
+	}
+	return true
+}
+
+// sleep waits for the time, until Refresh or Restored is called or until the context ends. It
+// reports whether Refresh was called.
 func (f *Follower[T]) sleep(ctx context.Context, d time.Duration) (refreshed bool) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-f.restoreSignal:
 	case <-f.refresh:
 		return true
 	}
--- a/node/tables.go
+++ b/node/tables.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/republish"
 	"github.com/gypsumford/gypsumford/retrybudget"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
@@ -31,6 +33,7 @@
 		splitter     *route.Splitter
 		origins      *callgraph.Origins
 		costs        *loadshed.Costs
+		republish    *republish.Table
 		routeOrigins map[string]callgraph.Origin // who sends the requests of each route, as replies reported
 		allKnown     bool                        // the records of all nodes were read since the start
 	}
@@ -53,6 +56,7 @@
 	t.mu.splitter = route.NewSplitter(start)
 	t.mu.origins = callgraph.NewOrigins()
 	t.mu.costs = loadshed.NewCosts()
+	t.mu.republish = republish.NewTable(s.Name, rand.Uint64())
 	t.mu.routeOrigins = map[string]callgraph.Origin{}
 	return t
 }
--- a/node/target.go
+++ b/node/target.go
@@ -5,6 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/node/store"
 	"github.com/gypsumford/gypsumford/roster"
 )
 
@@ -81,6 +84,11 @@
 func (n *Node) announce(record roster.Record) {
 	n.updateRecord(record, "own")
 	n.links.Announce()
+	n.signalPublish()
+}
+
+// signalPublish makes publishLoop write the node's record.
+func (n *Node) signalPublish() {
 	select {
 	case n.publish <- struct{}{}:
 	default:
@@ -102,6 +110,9 @@
 			if err == nil {
 				break
 			}
+			if errors.Is(err, store.ErrRestored) {
+				continue // the response is of the lost history
+			}
 			n.storeFailed("store: publication", err)
 			time.Sleep(wait/2 + rand.N(wait))
 			wait = min(2*wait, n.backoffLimit())
@@ -112,5 +123,12 @@
 func (n *Node) publishOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	return n.platform.Directory.Publish(ctx, n.Record())
+	record := n.Record()
+	if err := n.platform.Directory.Publish(ctx, record); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mu.published = record
+	return nil
 }
