startup, node: ask peers before a configuration comes into force at a start

Callers saw: a node that started after a restore served by the copy's configuration (version 1) while 3 was in force at all others. Cause: the first configuration that the store returned came into force at once. A restored store's may be as old as the copy. Change: a node that starts holds the configuration until two other instances (or the only one) have told theirs, or for 2 s if too few answer. Package startup decides. At the first start of the whole fleet, which the settings tell, nothing waits.

--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -28,6 +28,7 @@
 	"roster",
 	"route",
 	"routing",
+	"startup",
 	"timeline",
 }
 
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -237,9 +237,38 @@
 		c.send(outgoing{frame: frame{State: c.node.State(f.Version == 0)}})
 	case f.State != nil:
 		c.node.ReceiveState(f.State)
+		c.finishPulls()
 	}
 }
 
+// pull asks the peer for its state and waits until the node has received it.
+func (c *conn) pull(ctx context.Context) error {
+	done := make(chan struct{})
+	c.mu.Lock()
+	c.mu.pulls = append(c.mu.pulls, done)
+	c.mu.Unlock()
+	if !c.send(outgoing{frame: frame{Pull: true}}) {
+		return ErrNotSent
+	}
+	select {
+	case <-done:
+		return nil
+	case <-c.closed:
+		return ErrLost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *conn) finishPulls() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, done := range c.mu.pulls {
+		close(done)
+	}
+	c.mu.pulls = nil
+}
+
 func (c *conn) serve(id uint64, call *Call) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.mu.Lock()
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -201,6 +201,16 @@
 	return &Hello{Record: r, StoreEpoch: p.node.StoreEpoch()}
 }
 
+// Pull asks the node at the address for its state, and returns when this node has received
+// it. The error is ErrNotSent, ErrLost or that of the context.
+func (p *Pool) Pull(ctx context.Context, address string) error {
+	c, err := p.peer(address).connect(ctx, p, address)
+	if err != nil {
+		return err
+	}
+	return c.pull(ctx)
+}
+
 // Announce sends the node's record to all connected peers.
 func (p *Pool) Announce() {
 	hello := p.hello(p.node.Record())
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/gypsumford/gypsumford/node/store"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
+	"github.com/gypsumford/gypsumford/startup"
 )
 
 const (
@@ -158,6 +159,14 @@
 		// olderLogged are the versions that were last logged as older in the store than in force.
 		olderLogged [2]route.Version
 	}
+	startup struct {
+		sync.Mutex
+		gate          *startup.Gate
+		isOpen        bool
+		candidate     *route.Configuration // the newest, until the gate opens
+		candidateFrom string
+		answered      chan struct{} // signals consult that a peer has answered
+	}
 }
 
 // New returns a node that isn't running.
@@ -178,6 +187,7 @@
 	n.mu.record = roster.Record{
 		Instance: s.Name, Incarnation: time.Now().UnixMilli(), Address: s.advertised(), Domain: s.Domain,
 	}
+	n.startup.gate, n.startup.answered = startup.NewGate(s.FirstStart), make(chan struct{}, 1)
 	n.buildFollowers()
 	n.addGauges()
 	p.Epochs.OnChange(n.epochChanged)
@@ -262,6 +272,7 @@
 	go n.configurations.Run(background)
 	go n.records.Run(background)
 	go n.publishLoop(background)
+	go n.consult(background)
 	go n.poll(background)
 	go periodic.Every(background, republishInterval, n.writeForgotten)
 	go periodic.Every(background, link.TickInterval, n.links.Tick)
--- a/node/peers.go
+++ b/node/peers.go
@@ -113,7 +113,7 @@
 func (n *Node) ReceiveState(s *link.State) {
 	if s.Configuration != nil {
 		s.Configuration.Index()
-		n.applyConfiguration(s.Configuration, "peer")
+		n.propose(s.Configuration, "peer")
 	}
 	for _, r := range s.Records {
 		n.updateRecord(r, "peer")
@@ -128,7 +128,7 @@
 	for _, change := range changes {
 		if !change.Deleted {
 			n.logOlder(change.Value.Version)
-			n.applyConfiguration(change.Value, "store")
+			n.propose(change.Value, "store")
 		}
 	}
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -23,6 +23,7 @@
 	GraceTime         time.Duration // from SIGTERM until the process is killed
 	MemoryBytes       int64         // memory limit of the process, 0 if there is none
 	RetryBudget       retrybudget.Config
+	FirstStart        bool // the whole fleet starts for the first time
 }
 
 // advertised returns the address that the node publishes for its peers.
