--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/gypsumford/gypsumford/agent/bus"
 	"github.com/gypsumford/gypsumford/agent/link"
 	"github.com/gypsumford/gypsumford/agent/metrics"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/internal/periodic"
 	"github.com/gypsumford/gypsumford/membership"
@@ -163,6 +164,14 @@
 	a.seeds = &seeds{
 		now: a.now, self: a.self, static: *a.settings.Seeds, platform: platformCalls, members: a.members,
 	}
+	store.OnChange(func(c epoch.Change) {
+		platformCalls.epochChanged(c)
+		if c.BeginsHistory() {
+			a.configurations.epochChanged(c.To)
+			a.seeds.forgotten()
+		}
+	})
+	a.metrics.Gauge("platform_epoch", func() int64 { return int64(store.Epoch()) })
 }
 
 func (a *Agent) buildCallPath() {
--- a/agent/announcements.go
+++ b/agent/announcements.go
@@ -77,19 +77,21 @@
 
 // eventKinds maps announced changes to the kinds of timeline events.
 var eventKinds = map[string]timeline.Kind{
-	"config-accepted": timeline.ConfigAccepted,
-	"config-refused":  timeline.ConfigRefused,
-	"member-starting": timeline.MemberJoined,
-	"member-ready":    timeline.MemberReady,
-	"member-draining": timeline.MemberDraining,
-	"member-suspect":  timeline.MemberSuspect,
-	"member-dead":     timeline.MemberLost,
-	"member-left":     timeline.MemberLost,
-	"target-state":    timeline.TargetState,
-	"limit-changed":   timeline.LimitChanged,
-	"level-changed":   timeline.LevelChanged,
-	"platform-out":    timeline.PlatformOut,
-	"platform-back":   timeline.PlatformBack,
+	"config-accepted":   timeline.ConfigAccepted,
+	"config-refused":    timeline.ConfigRefused,
+	"member-starting":   timeline.MemberJoined,
+	"member-ready":      timeline.MemberReady,
+	"member-draining":   timeline.MemberDraining,
+	"member-suspect":    timeline.MemberSuspect,
+	"member-dead":       timeline.MemberLost,
+	"member-left":       timeline.MemberLost,
+	"target-state":      timeline.TargetState,
+	"limit-changed":     timeline.LimitChanged,
+	"level-changed":     timeline.LevelChanged,
+	"config-lost":       timeline.ConfigLost,
+	"platform-out":      timeline.PlatformOut,
+	"platform-back":     timeline.PlatformBack,
+	"platform-restored": timeline.PlatformRestored,
 }
 
 func (a *Agent) recordAnnouncement(change bus.Announcement) {
@@ -99,7 +101,11 @@
 	if change.Detail != "" {
 		detail = change.Detail
 	}
+	kind, isEvent := eventKinds[change.What]
+	if !isEvent {
+		return // only logged
+	}
 	a.ring.record(timeline.Event{
-		Kind: eventKinds[change.What], Service: change.Service, Detail: detail, Value: change.Value,
+		Kind: kind, Service: change.Service, Detail: detail, Value: change.Value,
 	})
 }
--- a/agent/configuration.go
+++ b/agent/configuration.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumford/gypsumford/agent/bus"
 	"github.com/gypsumford/gypsumford/agent/metrics"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/inventory"
 	"github.com/gypsumford/gypsumford/membership"
@@ -53,15 +54,16 @@
 
 	mu struct {
 		sync.Mutex
-		table           *rollout.Table
-		platformVersion uint64 // newest version received from the platform, even if it was refused
+		table       *rollout.Table
+		seen        epoch.Revision     // what the platform returned last, even if it was refused
+		cancelWatch context.CancelFunc // nil unless a watch waits
 	}
 }
 
 // offer parses a document that arrived from a peer or the platform and puts it in
 // force if the rollout accepts it. It parses without the lock, because a large
 // document takes many milliseconds.
-func (c *configurations) offer(version uint64, document []byte, source string) {
+func (c *configurations) offer(version epoch.Version, document []byte, source string) {
 	if version <= c.current.version() {
 		return
 	}
@@ -71,12 +73,13 @@
 	if result == rollout.Invalid {
 		c.announce(bus.Announcement{
 			Topic: bus.TopicConfig, What: "config-refused", Subject: source,
-			Detail: describeFinding(finding), Value: float64(version),
+			Detail: "version " + version.String() + ": " + describeFinding(finding), Value: float64(version.Number()),
 		})
 	}
 	if swapped != nil {
 		c.announce(bus.Announcement{
-			Topic: bus.TopicConfig, What: "config-accepted", Subject: source, Value: float64(version),
+			Topic: bus.TopicConfig, What: "config-accepted", Subject: source,
+			Detail: "version " + version.String(), Value: float64(version.Number()),
 		})
 		c.accepted(swapped)
 	}
@@ -84,7 +87,7 @@
 
 // swap puts the parsed document in force if the rollout accepts its version. The
 // returned configuration is nil if it does not.
-func (c *configurations) swap(version uint64, document []byte, parsed *inventory.Inventory, finding error) (rollout.OfferResult, *configuration) {
+func (c *configurations) swap(version epoch.Version, document []byte, parsed *inventory.Inventory, finding error) (rollout.OfferResult, *configuration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	result := c.mu.table.Offer(c.now(), version, document, func([]byte) error { return finding })
@@ -133,16 +136,25 @@
 func (c *configurations) watchOnce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
-	object, err := c.platform.watch(ctx, ConfigKey, c.knownVersion(), watchWait)
+	c.mu.Lock()
+	seen := c.mu.seen
+	c.mu.cancelWatch = cancel
+	c.mu.Unlock()
+	object, err := c.platform.watch(ctx, ConfigKey, seen, watchWait)
+	c.mu.Lock()
+	c.mu.cancelWatch = nil
+	c.mu.Unlock()
 	return c.handleObject(object, err)
 }
 
-// knownVersion returns the version after which the watch waits for a newer one. It
-// includes refused versions, so that they are not read again.
-func (c *configurations) knownVersion() uint64 {
+// epochChanged ends a watch that waits for changes in the history of another epoch. The
+// next watch returns the object as it is.
+func (c *configurations) epochChanged(current epoch.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(c.mu.table.Version(), c.mu.platformVersion)
+	if c.mu.cancelWatch != nil && c.mu.seen.Epoch != current {
+		c.mu.cancelWatch()
+	}
 }
 
 // handleObject handles the result of a read from the platform. It returns false if
@@ -150,24 +162,34 @@
 func (c *configurations) handleObject(object objects.Object, err error) bool {
 	switch {
 	case err == nil:
-		c.recordPlatformVersion(object.Version)
+		c.recordPlatform(object)
 		c.offer(object.Version, object.Value, "platform")
 		return true
 	case errors.Is(err, objects.ErrNotModified):
 		return true
 	case errors.Is(err, objects.ErrNotFound):
-		c.recordPlatformVersion(0)
+		c.recordPlatform(objects.Object{})
 		return false
 	default:
 		return false
 	}
 }
 
-func (c *configurations) recordPlatformVersion(version uint64) {
+// recordPlatform records what the platform returned, which has no version if there is no
+// such object. If that is older than the version in force, the platform has lost it.
+func (c *configurations) recordPlatform(object objects.Object) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.mu.platformVersion = max(c.mu.platformVersion, version)
-	c.mu.table.PlatformResponded(c.now(), version)
+	c.mu.seen = object.Revision
+	inForce := c.mu.table.Version()
+	c.mu.table.PlatformResponded(c.now(), object.Version, object.IsFromCopy())
+	c.mu.Unlock()
+	if object.Version < inForce {
+		c.announce(bus.Announcement{
+			Topic: bus.TopicConfig, What: "config-lost", Subject: "platform",
+			Detail: "the platform holds version " + object.Version.String() + ", version " + inForce.String() + " is in force",
+			Value:  float64(object.Version.Number()),
+		})
+	}
 }
 
 // tick starts the pulls that are due.
@@ -186,17 +208,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	client := peer.NewPeerProtobufClient("http://"+p.Address, c.http)
-	reply, err := client.PullConfig(ctx, &peer.PullConfigRequest{Version: c.current.version()})
+	reply, err := client.PullConfig(ctx, &peer.PullConfigRequest{Version: uint64(c.current.version())})
 	if err != nil {
 		c.pullFailed(p.Peer)
 		return
 	}
 	if len(reply.Document) > 0 {
-		c.offer(reply.Version, reply.Document, string(p.Peer))
+		c.offer(epoch.Version(reply.Version), reply.Document, string(p.Peer))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.mu.table.PeerResponded(c.now(), p.Peer, reply.Version)
+	c.mu.table.PeerResponded(c.now(), p.Peer, epoch.Version(reply.Version))
 }
 
 func (c *configurations) pullFailed(id fleet.InstanceID) {
@@ -254,7 +276,7 @@
 
 // newerDocument returns the version in force, and its document if the version is
 // above the given one.
-func (c *configurations) newerDocument(version uint64) (uint64, []byte) {
+func (c *configurations) newerDocument(version epoch.Version) (epoch.Version, []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	inForce := c.mu.table.Version()
--- a/agent/members.go
+++ b/agent/members.go
@@ -13,6 +13,7 @@
 
 	"github.com/gypsumford/gypsumford/agent/bus"
 	"github.com/gypsumford/gypsumford/agent/metrics"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/membership"
 	"github.com/gypsumford/gypsumford/rpc/peer"
@@ -190,7 +191,7 @@
 	m.withTable(func(t *membership.Table) []membership.Message { return t.SetTarget(m.now(), service, slots, state) })
 }
 
-func (m *members) setConfigVersion(version uint64) {
+func (m *members) setConfigVersion(version epoch.Version) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.mu.table.SetConfigVersion(version)
--- a/agent/metrics/metrics.go
+++ b/agent/metrics/metrics.go
@@ -24,6 +24,7 @@
 	Hedges     *expvar.Int // second tries sent in parallel to a slow first one
 	BadInput   *expvar.Map // refused input, by source
 	Platform   *expvar.Map // calls to the platform, by kind and result
+	Epochs     *expvar.Map // what calls showed about the epoch of the platform's store, by finding
 	Packets    *expvar.Map // membership packets and bytes, by direction
 	Config     *expvar.Map // configurations received, by result
 	Membership *expvar.Map // changes of members, by new state
@@ -49,6 +50,7 @@
 	s.Hedges = s.newInt("calls_hedged")
 	s.BadInput = s.newMap("bad_input")
 	s.Platform = s.newMap("platform_calls")
+	s.Epochs = s.newMap("platform_epochs")
 	s.Packets = s.newMap("membership_packets")
 	s.Config = s.newMap("config_offers")
 	s.Membership = s.newMap("membership_changes")
--- a/agent/operatorserver.go
+++ b/agent/operatorserver.go
@@ -34,7 +34,7 @@
 	reply := &operator.StatusReply{
 		Node: string(a.self.ID), PeerAddress: a.self.PeerAddress, CallAddress: a.callAddress(),
 		FailureDomain: string(a.self.FailureDomain), Region: string(a.self.Region),
-		ConfigVersion: a.config.version(), Target: s.target(), Classes: s.classes(),
+		ConfigVersion: uint64(a.config.version()), Target: s.target(), Classes: s.classes(),
 		MemberTotal: uint32(a.members.len()), UptimeSeconds: a.now().Sub(a.started).Seconds(),
 		Ready: a.serving(),
 	}
--- a/agent/peerserver.go
+++ b/agent/peerserver.go
@@ -5,6 +5,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/rpc/peer"
 )
 
@@ -16,8 +17,8 @@
 // PullConfig returns the version in force, and its document if it is newer than the
 // peer's.
 func (s *peerServer) PullConfig(_ context.Context, r *peer.PullConfigRequest) (*peer.PullConfigReply, error) {
-	version, document := s.agent.configurations.newerDocument(r.Version)
-	return &peer.PullConfigReply{Version: version, Document: document}, nil
+	version, document := s.agent.configurations.newerDocument(epoch.Version(r.Version))
+	return &peer.PullConfigReply{Version: uint64(version), Document: document}, nil
 }
 
 // ExchangeMembers merges the peer's table and returns the records that it lacks.
--- a/agent/platformcalls.go
+++ b/agent/platformcalls.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumford/gypsumford/agent/bus"
 	"github.com/gypsumford/gypsumford/agent/metrics"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/objects"
 )
 
@@ -30,13 +31,13 @@
 	return object, err
 }
 
-func (p *platformCalls) put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
-	version, err := p.client.Put(ctx, key, value, ifVersion)
+func (p *platformCalls) put(ctx context.Context, key string, value []byte, replaces epoch.Revision) (objects.Object, error) {
+	written, err := p.client.Put(ctx, key, value, replaces)
 	p.record("put", err)
-	return version, err
+	return written, err
 }
 
-func (p *platformCalls) watch(ctx context.Context, key string, after uint64, wait time.Duration) (objects.Object, error) {
+func (p *platformCalls) watch(ctx context.Context, key string, after epoch.Revision, wait time.Duration) (objects.Object, error) {
 	object, err := p.client.Watch(ctx, key, after, wait)
 	p.record("watch", err)
 	return object, err
@@ -48,6 +49,20 @@
 	return keys, err
 }
 
+// epochChanged announces what a call showed about the epoch of the platform's store.
+func (p *platformCalls) epochChanged(c epoch.Change) {
+	p.metrics.Epochs.Add(c.Finding.String(), 1)
+	what := "platform-epoch"
+	if c.BeginsHistory() {
+		what = "platform-restored"
+	}
+	detail := c.Finding.String() + ", from " + c.From.String() + " to " + c.To.String()
+	if c.Err != nil {
+		detail += ": " + c.Err.Error()
+	}
+	p.announce(bus.Announcement{Topic: bus.TopicPlatform, What: what, Detail: detail, Value: float64(c.To)})
+}
+
 // record counts a call and announces a change of the platform's availability.
 func (p *platformCalls) record(kind string, err error) {
 	unavailable := errors.Is(err, objects.ErrUnavailable)
--- a/agent/seeds.go
+++ b/agent/seeds.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/membership"
 	"github.com/gypsumford/gypsumford/objects"
@@ -110,27 +112,28 @@
 	return addresses, nil
 }
 
-// read returns the addresses in a seed object and its version, 0 if it does not
+// read returns the addresses in a seed object and its revision, zero if it does not
 // exist.
-func (s *seeds) read(ctx context.Context, key string) ([]string, uint64, error) {
+func (s *seeds) read(ctx context.Context, key string) ([]string, epoch.Revision, error) {
 	object, err := s.platform.get(ctx, key)
 	if errors.Is(err, objects.ErrNotFound) {
-		return nil, 0, nil
+		return nil, epoch.Revision{}, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return nil, epoch.Revision{}, err
 	}
 	addresses, err := membership.DecodeSeed(object.Value)
 	if err != nil {
 		s.members.metrics.BadInput.Add("seed", 1)
-		return nil, object.Version, nil // the next refresh replaces it
+		return nil, object.Revision, nil // the next refresh replaces it
 	}
-	return addresses, object.Version, nil
+	return addresses, object.Revision, nil
 }
 
 // refresh writes the seed objects that this node owns, and exchanges tables with the
 // nodes in them that it didn't know.
 func (s *seeds) refresh(ctx context.Context) {
+	s.check(ctx)
 	s.members.mu.Lock()
 	writes := s.members.mu.table.SeedWrites(s.now())
 	s.members.mu.Unlock()
@@ -139,19 +142,50 @@
 	}
 }
 
+// check reads the seed objects that this node has written and that are due to be checked.
+func (s *seeds) check(ctx context.Context) {
+	s.members.mu.Lock()
+	keys := s.members.mu.table.SeedChecks(s.now())
+	s.members.mu.Unlock()
+	for _, key := range keys {
+		s.checkOne(ctx, key)
+	}
+}
+
+func (s *seeds) checkOne(ctx context.Context, key string) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	addresses, _, err := s.read(ctx, key)
+	if err != nil || slices.Contains(addresses, s.self.PeerAddress) {
+		return // a failed read is repeated at the next check
+	}
+	s.members.mu.Lock()
+	defer s.members.mu.Unlock()
+	s.members.mu.table.SeedForgotten(s.now(), key)
+}
+
+// forgotten makes the writes of all seed objects due that the node owns.
+func (s *seeds) forgotten() {
+	s.members.mu.Lock()
+	defer s.members.mu.Unlock()
+	for _, key := range membership.SeedKeys(s.self.FailureDomain) {
+		s.members.mu.table.SeedForgotten(s.now(), key)
+	}
+}
+
 // refreshOne writes one seed object. If another node has written it since it was
 // read, refreshOne exchanges tables with that node and retries.
 func (s *seeds) refreshOne(ctx context.Context, write membership.SeedWrite) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	for range maxSeedWrites {
-		addresses, version, err := s.read(ctx, write.Key)
+		addresses, revision, err := s.read(ctx, write.Key)
 		if err != nil {
 			return // retried at the next refresh
 		}
 		s.exchangeWithUnknown(ctx, addresses)
-		_, err = s.platform.put(ctx, write.Key, write.Value, version)
-		if errors.Is(err, objects.ErrConflict) {
+		_, err = s.platform.put(ctx, write.Key, write.Value, revision)
+		if errors.Is(err, objects.ErrConflict) || errors.Is(err, objects.ErrRestored) {
 			continue
 		}
 		if err != nil {
--- a/agent/tables.go
+++ b/agent/tables.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumford/gypsumford/admission"
 	"github.com/gypsumford/gypsumford/attempt"
 	"github.com/gypsumford/gypsumford/call"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/inventory"
 	"github.com/gypsumford/gypsumford/routing"
@@ -16,7 +17,7 @@
 
 // configuration is an inventory, indexed by the names in a call.
 type configuration struct {
-	version   uint64
+	version   epoch.Version
 	inventory *inventory.Inventory
 	services  map[string]*serviceIndex
 }
@@ -26,7 +27,7 @@
 	operations map[string]*inventory.Operation
 }
 
-func indexConfiguration(version uint64, inv *inventory.Inventory) *configuration {
+func indexConfiguration(version epoch.Version, inv *inventory.Inventory) *configuration {
 	c := &configuration{version: version, inventory: inv, services: make(map[string]*serviceIndex, len(inv.Services))}
 	for i := range inv.Services {
 		service := &inv.Services[i]
@@ -68,7 +69,7 @@
 func (f *currentConfig) set(c *configuration) { f.current.Store(c) }
 
 // version returns the version in force, 0 if there is none.
-func (f *currentConfig) version() uint64 {
+func (f *currentConfig) version() epoch.Version {
 	if c := f.get(); c != nil {
 		return c.version
 	}
--- a/command/apply/apply.go
+++ b/command/apply/apply.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumford/gypsumford/command"
 	"github.com/gypsumford/gypsumford/command/changelog"
 	"github.com/gypsumford/gypsumford/command/configuration"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/finding"
 	"github.com/gypsumford/gypsumford/inventory"
 )
@@ -34,8 +35,11 @@
   gypsumctl apply -wait -node 10.0.0.7:7100 -timeout 30s inventory.yaml`
 )
 
-// expectFromFile is the value of -expect that stands for the version in the file.
-const expectFromFile = -1
+// Values of -expect that aren't versions.
+const (
+	expectFromFile = "-1" // the version in the file
+	expectNone     = "0"  // there must be no inventory yet
+)
 
 // Verb is "gypsumctl apply".
 var Verb = command.Verb{Name: "apply", Synopsis: synopsis, Run: run}
@@ -43,7 +47,7 @@
 // options are the values of the flags and the argument of one run.
 type options struct {
 	platform string
-	expect   int
+	expect   string
 	by       string
 	wait     bool
 	node     string
@@ -53,7 +57,7 @@
 
 // result is the outcome of the update, and the output as JSON.
 type result struct {
-	Version      uint64             `json:"version"` // in force
+	Version      epoch.Version      `json:"version"` // in force
 	Changed      bool               `json:"changed"`
 	ResponseLost bool               `json:"answer_lost"` // the response was lost, and reading back showed that the update took effect
 	Replaced     bool               `json:"replaced"`    // others have changed the inventory since
@@ -63,7 +67,7 @@
 func run(ctx context.Context, env *command.Env, args []string) error {
 	set := env.Settings("apply", synopsis, details)
 	platformURL := command.PlatformFlag(set)
-	expect := set.Int("expect", expectFromFile, "version that the update replaces, 0 for none yet, -1 for the one in the file")
+	expect := set.String("expect", expectFromFile, "version that the update replaces, such as 12 or 2-12, 0 for none yet, -1 for the one in the file", checkExpect)
 	by := set.String("by", "", "name of the operator for the change log, default $USER")
 	wait := set.Bool("wait", "wait until all nodes have the inventory, needs -node")
 	node := set.HostPort("node", "", "peer address of any node that runs, for -wait")
@@ -95,7 +99,12 @@
 	if u.current, err = readCurrent(ctx, env, u); err != nil {
 		return err
 	}
-	u.expected = expectedVersion(o.expect, document, u.current)
+	if u.current.IsFromCopy {
+		env.Notef(configuration.CopyNote, u.current.Version)
+	}
+	if u.expected, err = expectedRevision(o.expect, document, u.current, u.store.Epoch()); err != nil {
+		return err
+	}
 	u.entry = changelogEntry(u, o.by)
 	r, err := u.run(ctx)
 	if err != nil {
@@ -107,7 +116,7 @@
 	if !o.wait {
 		return nil
 	}
-	return waitForNodes(ctx, env, o.node, r.Version)
+	return u.waitForNodes(ctx, env, o.node, r.Version)
 }
 
 // fileError returns the error for a file that can't be read or is invalid.
@@ -131,17 +140,52 @@
 	return current, err
 }
 
-// expectedVersion returns the version that the update replaces: the one of the
-// flag -expect, else the one in the file, else the current one.
-func expectedVersion(flag int, document, current configuration.Document) uint64 {
+// expectedRevision returns the revision that the update replaces: the one of the
+// flag -expect, else the one in the file, else the current one. A file that was made in
+// another epoch of the store names a revision that means something else now.
+func expectedRevision(flag string, document, current configuration.Document, now epoch.ID) (epoch.Revision, error) {
+	fromFile := document.Log.Revision
 	switch {
+	case flag == expectNone:
+		return epoch.Revision{}, nil
 	case flag != expectFromFile:
-		return uint64(max(flag, 0))
-	case document.Log.Version != 0:
-		return document.Log.Version
+		return parseExpected(flag, current, now)
+	case fromFile.IsZero():
+		return current.Revision, nil
+	case fromFile.Epoch != now:
+		return epoch.Revision{}, errors.Newf("the file was made from version %d in epoch %s of the platform's store, which is now in epoch %s: "+
+			"it came back from a copy and may have lost that version; nothing was changed.%s\n"+
+			"To go on: 'gypsumctl get' the present version, make your change in it, and apply that; or replace the present version by -expect %d.",
+			fromFile.Number, fromFile.Epoch, now, indent(describeChanges("From the present inventory to your file:",
+				inventory.Diff(current.Inventory, document.Inventory))), current.Revision.Number)
 	default:
-		return current.Version
+		return fromFile, nil
+	}
+}
+
+// checkExpect is the check of the flag -expect.
+func checkExpect(value string) error {
+	if value == expectFromFile {
+		return nil
+	}
+	if _, err := epoch.ParseVersion(value); err != nil {
+		return errors.Newf("%q is no version, such as 12 or 2-12", value)
+	}
+	return nil
+}
+
+// parseExpected returns the revision that stands for the version of the flag -expect: a
+// revision of the store's present epoch, or a version as gypsumctl prints it.
+func parseExpected(flag string, current configuration.Document, now epoch.ID) (epoch.Revision, error) {
+	version, _ := epoch.ParseVersion(flag) // checked by checkExpect
+	switch {
+	case version == current.Version:
+		return current.Revision, nil
+	case version.Epoch() == epoch.Unknown || version.Epoch() == now:
+		return epoch.Revision{Epoch: now, Number: version.Number()}, nil
 	}
+	return epoch.Revision{}, errors.Newf("-expect: version %s isn't there any more: the platform's store is in epoch %s and holds version %s; nothing was changed",
+		version, now, current.Version)
 }
 
 func changelogEntry(u *update, by string) changelog.Entry {
@@ -163,7 +207,7 @@
 		env.Notef("another operator has changed the inventory since; 'gypsumctl get' shows what")
 	}
 	if !r.Changed {
-		_, err := fmt.Fprintf(env.Stdout, "version %d holds this inventory already, nothing was changed\n", r.Version)
+		_, err := fmt.Fprintf(env.Stdout, "version %s holds this inventory already, nothing was changed\n", r.Version)
 		return errors.Wrap(err, "write the output")
 	}
 	for _, change := range r.Changes {
@@ -171,6 +215,6 @@
 			return errors.Wrap(err, "write the output")
 		}
 	}
-	_, err := fmt.Fprintf(env.Stdout, "version %d is on the platform, %s\n", r.Version, command.Count(len(r.Changes), "change"))
+	_, err := fmt.Fprintf(env.Stdout, "version %s is on the platform, %s\n", r.Version, command.Count(len(r.Changes), "change"))
 	return errors.Wrap(err, "write the output")
 }
--- a/command/apply/wait.go
+++ b/command/apply/wait.go
@@ -9,6 +9,9 @@
 
 	"github.com/gypsumford/gypsumford/command"
 	"github.com/gypsumford/gypsumford/command/node"
+	"github.com/gypsumford/gypsumford/epoch"
+	"github.com/gypsumford/gypsumford/inventory"
+	"github.com/gypsumford/gypsumford/objects"
 	"github.com/gypsumford/gypsumford/rpc/operator"
 )
 
@@ -18,13 +21,13 @@
 // outdatedNode is a node that isn't known to have the version in force.
 type outdatedNode struct {
 	member  *operator.Member
-	version uint64 // in force on the node; 0 if err is set
-	err     error  // if the node didn't reply
+	version epoch.Version // in force on the node; 0 if err is set
+	err     error         // if the node didn't reply
 }
 
 // waitForNodes waits until all live nodes have the version, or a newer one, in
 // force. Otherwise its error names the nodes that don't.
-func waitForNodes(ctx context.Context, env *command.Env, seed string, version uint64) error {
+func (u *update) waitForNodes(ctx context.Context, env *command.Env, seed string, version epoch.Version) error {
 	client := node.New()
 	var outdated []outdatedNode
 	total := 0
@@ -35,27 +38,41 @@
 			total = len(members)
 			outdated = findOutdated(ctx, client, members, version)
 			if len(outdated) == 0 {
-				env.Notef("version %d is in force on all %d nodes", version, total)
+				env.Notef("version %s is in force on all %d nodes", version, total)
 				return nil
 			}
 		}
+		if u.isLost(ctx) {
+			return errors.Newf("version %s was on the platform and is lost: its store came back from an older copy. "+
+				"%d of %d nodes have it in force. Run the same command again", version, total-len(outdated), total)
+		}
 		if pause(ctx) {
 			continue
 		}
 		if total == 0 {
-			return errors.Wrapf(err, "version %d is on the platform, but the nodes can't be asked whether it is in force", version)
+			return errors.Wrapf(err, "version %s is on the platform, but the nodes can't be asked whether it is in force", version)
 		}
-		return errors.Newf("version %d is on the platform, but %d of %d nodes don't have it yet; they take it when they reach a peer:%s",
+		return errors.Newf("version %s is on the platform, but %d of %d nodes don't have it yet; they take it when they reach a peer:%s",
 			version, len(outdated), total, describeNodes(outdated))
 	}
 }
 
+// isLost reports whether the store was restored since the update took effect and holds an
+// older version.
+func (u *update) isLost(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	held, err := u.store.Get(ctx, inventory.ObjectKey)
+	isRead := err == nil || errors.Is(err, objects.ErrNotFound)
+	return isRead && u.store.Epoch() != u.written.Revision.Epoch && held.Version < u.written.Version
+}
+
 // findOutdated returns the members that don't have the version. It queries only
 // those whose version in the list of members is older.
-func findOutdated(ctx context.Context, client *node.Client, members []*operator.Member, version uint64) []outdatedNode {
+func findOutdated(ctx context.Context, client *node.Client, members []*operator.Member, version epoch.Version) []outdatedNode {
 	var unconfirmed []*operator.Member
 	for _, member := range members {
-		if member.GetConfigVersion() < version {
+		if epoch.Version(member.GetConfigVersion()) < version {
 			unconfirmed = append(unconfirmed, member)
 		}
 	}
@@ -64,8 +81,8 @@
 	})
 	var outdated []outdatedNode
 	for _, r := range results {
-		if r.Err != nil || r.Reply.GetConfigVersion() < version {
-			outdated = append(outdated, outdatedNode{r.Member, r.Reply.GetConfigVersion(), r.Err})
+		if r.Err != nil || epoch.Version(r.Reply.GetConfigVersion()) < version {
+			outdated = append(outdated, outdatedNode{r.Member, epoch.Version(r.Reply.GetConfigVersion()), r.Err})
 		}
 	}
 	return outdated
@@ -83,7 +100,7 @@
 			fmt.Fprintf(&text, "no answer: %s", n.err)
 			continue
 		}
-		fmt.Fprintf(&text, "version %d", n.version)
+		fmt.Fprintf(&text, "version %s", n.version)
 	}
 	return text.String()
 }
--- a/command/changelog/changelog.go
+++ b/command/changelog/changelog.go
@@ -4,10 +4,11 @@
 //
 // The lines of the log begin with "#: " and precede the operator's text. gypsumctl
 // get adds a line with the version that it read, and gypsumctl apply uses that as
-// the version that the update expects:
+// the version that the update expects. The numbers are revisions of the platform's store,
+// which mean something within one epoch of it alone:
 //
-//	#: version 13
-//	#: after 12 by anna at 2026-03-01T09:30:00Z
+//	#: version 13 epoch 2
+//	#: after 12 by anna at 2026-03-01T09:30:00Z epoch 2
 //	#:   ~ services.search.contract.slots: 70 -> 80
 //
 // The log is bounded by MaxEntries and MaxChanges.
@@ -20,6 +21,7 @@
 	"strings"
 	"time"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/inventory"
 )
 
@@ -37,20 +39,20 @@
 
 // Log is the change log of a document.
 type Log struct {
-	Version uint64  // written by gypsumctl get, 0 if the log has none
-	Entries []Entry // newest first
+	Revision epoch.Revision // written by gypsumctl get, zero if the log has none
+	Entries  []Entry        // newest first
 }
 
 // Entry describes one update.
 type Entry struct {
-	After   uint64 // version that the update replaced
-	By      string // name of the operator
+	After   epoch.Revision // that the update replaced
+	By      string         // name of the operator
 	At      time.Time
 	Changes []string // in the format of inventory.Change.String
 }
 
-// NewEntry returns the entry of an update that replaces the given version.
-func NewEntry(after uint64, by string, at time.Time, changes []inventory.Change) Entry {
+// NewEntry returns the entry of an update that replaces the given revision.
+func NewEntry(after epoch.Revision, by string, at time.Time, changes []inventory.Change) Entry {
 	entry := Entry{After: after, By: oneWord(by), At: at.UTC().Truncate(time.Second)}
 	for i, change := range changes {
 		if i == MaxChanges {
@@ -69,15 +71,15 @@
 	return Log{Entries: entries[:min(len(entries), MaxEntries)]}
 }
 
-// Since returns the entries of the updates after the given version, newest first.
-// complete is false if the log doesn't reach back to that version.
-func (l Log) Since(version uint64) (entries []Entry, complete bool) {
+// Since returns the entries of the updates after the given revision, newest first.
+// complete is false if the log doesn't reach back to that revision within its epoch.
+func (l Log) Since(revision epoch.Revision) (entries []Entry, complete bool) {
 	for _, entry := range l.Entries {
-		if entry.After < version {
+		if entry.After.Epoch != revision.Epoch || entry.After.Number < revision.Number {
 			return entries, false
 		}
 		entries = append(entries, entry)
-		if entry.After == version {
+		if entry.After == revision {
 			return entries, true
 		}
 	}
@@ -95,11 +97,12 @@
 // Join returns a document that consists of the lines of the log and the text.
 func Join(log Log, text []byte) []byte {
 	var out bytes.Buffer
-	if log.Version > 0 {
-		fmt.Fprintf(&out, "%sversion %d\n", linePrefix, log.Version)
+	if !log.Revision.IsZero() {
+		fmt.Fprintf(&out, "%sversion %d%s\n", linePrefix, log.Revision.Number, epochSuffix(log.Revision))
 	}
 	for _, entry := range log.Entries {
-		fmt.Fprintf(&out, "%safter %d by %s at %s\n", linePrefix, entry.After, entry.By, entry.At.Format(time.RFC3339))
+		fmt.Fprintf(&out, "%safter %d by %s at %s%s\n", linePrefix, entry.After.Number, entry.By,
+			entry.At.Format(time.RFC3339), epochSuffix(entry.After))
 		for _, change := range entry.Changes {
 			fmt.Fprintf(&out, "%s%s%s\n", linePrefix, changePrefix, change)
 		}
@@ -108,6 +111,15 @@
 	return out.Bytes()
 }
 
+// epochSuffix returns the end of a line that tells the epoch of its revision. It is last, so
+// that versions of gypsumctl that know no epochs can parse the line.
+func epochSuffix(r epoch.Revision) string {
+	if r.Epoch == epoch.Unknown {
+		return ""
+	}
+	return " epoch " + r.Epoch.String()
+}
+
 // Split returns the log at the top of a document and the text below it. Invalid
 // lines of the log are dropped.
 func Split(document []byte) (Log, []byte) {
@@ -129,14 +141,14 @@
 	}
 	var entry Entry
 	var at string
-	if n, _ := fmt.Sscanf(line, "after %d by %s at %s", &entry.After, &entry.By, &at); n == 3 {
+	if n, _ := fmt.Sscanf(line, "after %d by %s at %s epoch %d", &entry.After.Number, &entry.By, &at, &entry.After.Epoch); n >= 3 {
 		entry.At, _ = time.Parse(time.RFC3339, at)
 		if len(l.Entries) < MaxEntries {
 			l.Entries = append(l.Entries, entry)
 		}
 		return
 	}
-	_, _ = fmt.Sscanf(line, "version %d", &l.Version)
+	_, _ = fmt.Sscanf(line, "version %d epoch %d", &l.Revision.Number, &l.Revision.Epoch) // the epoch may be missing
 }
 
 // oneWord returns the operator's name as one word of at most maxOperatorBytes, as
--- a/command/diff/diff.go
+++ b/command/diff/diff.go
@@ -10,6 +10,7 @@
 
 	"github.com/gypsumford/gypsumford/command"
 	"github.com/gypsumford/gypsumford/command/configuration"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/inventory"
 )
 
@@ -30,7 +31,7 @@
 // report is the output as JSON.
 type report struct {
 	From    string             `json:"from"`
-	Version uint64             `json:"version,omitempty"` // of the inventory in force, if compared with that
+	Version epoch.Version      `json:"version,omitempty"` // of the inventory in force, if compared with that
 	To      string             `json:"to"`
 	Changes []inventory.Change `json:"changes"`
 }
--- a/command/status/report.go
+++ b/command/status/report.go
@@ -8,19 +8,20 @@
 	"strings"
 
 	"github.com/gypsumford/gypsumford/command/node"
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/rpc/operator"
 )
 
 // report is the data of the tables, and the output as JSON.
 type report struct {
-	QueriedNode string       `json:"asked_node"`
-	Nodes       int          `json:"nodes"`
-	Responding  int          `json:"answering"`
-	Versions    []uint64     `json:"inventory_versions"` // in force on the nodes that responded
-	Services    []serviceRow `json:"services"`
-	Targets     []targetRow  `json:"targets"`
-	Classes     []classRow   `json:"classes"`
+	QueriedNode string          `json:"asked_node"`
+	Nodes       int             `json:"nodes"`
+	Responding  int             `json:"answering"`
+	Versions    []epoch.Version `json:"inventory_versions"` // in force on the nodes that responded
+	Services    []serviceRow    `json:"services"`
+	Targets     []targetRow     `json:"targets"`
+	Classes     []classRow      `json:"classes"`
 }
 
 // serviceRow sums up the targets of one service.
@@ -39,20 +40,20 @@
 
 // targetRow is one node with its target.
 type targetRow struct {
-	Node          string `json:"node"`
-	Address       string `json:"address"`
-	FailureDomain string `json:"failure_domain"`
-	Region        string `json:"region"`
-	Service       string `json:"service"`
-	State         string `json:"state"`
-	Responded     bool   `json:"answers"`
-	Running       uint32 `json:"running"`
-	Limit         uint32 `json:"limit"`
-	Slots         uint32 `json:"slots"`
-	Queued        uint32 `json:"queued"`
-	Admits        string `json:"admits"`
-	Version       uint64 `json:"inventory_version"`
-	Error         string `json:"error,omitempty"`
+	Node          string        `json:"node"`
+	Address       string        `json:"address"`
+	FailureDomain string        `json:"failure_domain"`
+	Region        string        `json:"region"`
+	Service       string        `json:"service"`
+	State         string        `json:"state"`
+	Responded     bool          `json:"answers"`
+	Running       uint32        `json:"running"`
+	Limit         uint32        `json:"limit"`
+	Slots         uint32        `json:"slots"`
+	Queued        uint32        `json:"queued"`
+	Admits        string        `json:"admits"`
+	Version       epoch.Version `json:"inventory_version"`
+	Error         string        `json:"error,omitempty"`
 
 	boundary boundary
 }
@@ -84,17 +85,17 @@
 	case len(r.Versions) == 0, len(r.Versions) == 1 && r.Versions[0] == 0:
 		return "none in force"
 	case len(r.Versions) == 1:
-		return fmt.Sprintf("version %d in force on all of them", r.Versions[0])
+		return fmt.Sprintf("version %s in force on all of them", r.Versions[0])
 	default:
 		return fmt.Sprintf("versions %v in force, not all nodes have the newest yet", r.Versions)
 	}
 }
 
 func newReport(address string, results []node.Result[*operator.StatusReply], service string) report {
-	r := report{QueriedNode: address, Services: []serviceRow{}, Targets: []targetRow{}, Classes: []classRow{}, Versions: []uint64{}}
+	r := report{QueriedNode: address, Services: []serviceRow{}, Targets: []targetRow{}, Classes: []classRow{}, Versions: []epoch.Version{}}
 	services := make(map[string]*serviceRow)
 	classes := newClassCounts()
-	versions := make(map[uint64]bool)
+	versions := make(map[epoch.Version]bool)
 	for _, result := range results {
 		row := newTargetRow(result)
 		if service != "" && row.Service != service {
@@ -129,14 +130,14 @@
 	row := targetRow{
 		Node: member.GetNode(), Address: member.GetPeerAddress(),
 		FailureDomain: member.GetFailureDomain(), Region: member.GetRegion(),
-		Service: member.GetService(), State: member.GetState(), Version: member.GetConfigVersion(),
+		Service: member.GetService(), State: member.GetState(), Version: epoch.Version(member.GetConfigVersion()),
 	}
 	if result.Err != nil {
 		row.Error = result.Err.Error()
 		return row
 	}
 	row.Responded = true
-	row.Version = result.Reply.GetConfigVersion()
+	row.Version = epoch.Version(result.Reply.GetConfigVersion())
 	target := result.Reply.GetTarget()
 	if target == nil {
 		row.Error = "no target has announced itself"
--- a/command/timeline/page/mark.go
+++ b/command/timeline/page/mark.go
@@ -52,7 +52,8 @@
 // marked reports whether an event is drawn as a mark.
 func marked(e *timeline.Event) bool {
 	switch e.Kind {
-	case timeline.PlatformOut, timeline.PlatformBack, timeline.MemberLost, timeline.ConfigAccepted,
+	case timeline.PlatformOut, timeline.PlatformBack, timeline.PlatformRestored, timeline.ConfigLost,
+		timeline.MemberLost, timeline.ConfigAccepted,
 		timeline.ConfigRefused, timeline.NodeStopping, timeline.MemberDraining:
 		return true
 	case timeline.TargetState:
@@ -75,6 +76,10 @@
 		return fmt.Sprintf("inventory version %.0f refused: %s", e.Value, e.Detail)
 	case timeline.PlatformOut:
 		return "platform out"
+	case timeline.PlatformRestored:
+		return "platform restored from a copy"
+	case timeline.ConfigLost:
+		return "inventory lost: " + e.Detail
 	case timeline.PlatformBack:
 		return "platform back"
 	case timeline.NodeStopping:
@@ -90,7 +95,7 @@
 // as those by operators.
 func markColour(kind timeline.Kind) string {
 	switch kind {
-	case timeline.PlatformOut, timeline.MemberLost, timeline.ConfigRefused:
+	case timeline.PlatformOut, timeline.PlatformRestored, timeline.ConfigLost, timeline.MemberLost, timeline.ConfigRefused:
 		return "#b3261e"
 	case timeline.PlatformBack:
 		return "#1b7f4b"
--- a/membership/configversion.go
+++ b/membership/configversion.go
@@ -1,17 +1,20 @@
 package membership
 
-import "github.com/gypsumford/gypsumford/fleet"
+import (
+	"github.com/gypsumford/gypsumford/epoch"
+	"github.com/gypsumford/gypsumford/fleet"
+)
 
 // ConfigPeer is a member that has a newer configuration than the node.
 type ConfigPeer struct {
 	Instance fleet.InstanceID
 	Address  string // its PeerAddress
-	Version  uint64
+	Version  epoch.Version
 }
 
 // SetConfigVersion sets the configuration version that each packet carries. After
 // an increase the next ticks send packets even if no other update is queued.
-func (t *Table) SetConfigVersion(v uint64) {
+func (t *Table) SetConfigVersion(v epoch.Version) {
 	if v > t.configVersion {
 		t.configSends = transmissions
 	}
@@ -26,7 +29,7 @@
 	return peers
 }
 
-func (t *Table) recordConfigVersion(sender *record, version uint64) {
+func (t *Table) recordConfigVersion(sender *record, version epoch.Version) {
 	if version <= t.configVersion {
 		return
 	}
--- a/membership/membershiptest/config.go
+++ b/membership/membershiptest/config.go
@@ -1,6 +1,7 @@
 package membershiptest
 
 import (
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/rollout"
 )
 
@@ -16,6 +17,7 @@
 	}
 	n.reading = true
 	version, document := f.Platform.Version, f.Platform.Document
+	isFromCopy := version.Epoch() != f.Platform.Epoch
 	f.Platform.Calls++
 	table := n.Rollout
 	f.events.add(platformMs+f.slowReplyMs(), event{run: func() {
@@ -27,7 +29,7 @@
 		if f.Platform.Down {
 			return
 		}
-		n.Rollout.PlatformResponded(f.Now, version)
+		n.Rollout.PlatformResponded(f.Now, version, isFromCopy)
 		n.BytesPulled += uint64(len(document))
 		f.offer(n, version, document)
 	}})
@@ -87,7 +89,7 @@
 }
 
 // offer offers a document to a node's rollout table, as the daemon does.
-func (f *Fleet) offer(n *Node, version uint64, document []byte) rollout.OfferResult {
+func (f *Fleet) offer(n *Node, version epoch.Version, document []byte) rollout.OfferResult {
 	check := f.Check
 	if check == nil {
 		check = func([]byte) error { return nil }
--- a/membership/membershiptest/fleet.go
+++ b/membership/membershiptest/fleet.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/membership"
 	"github.com/gypsumford/gypsumford/rollout"
@@ -58,7 +59,7 @@
 	// Check checks each offered document; nil accepts all.
 	Check func([]byte) error
 	// OnAccept is called when a node accepts a version, unless it is nil.
-	OnAccept func(n *Node, version uint64)
+	OnAccept func(n *Node, version epoch.Version)
 
 	options   Options
 	rng       *rand.Rand
--- a/membership/membershiptest/seeds.go
+++ b/membership/membershiptest/seeds.go
@@ -1,6 +1,8 @@
 package membershiptest
 
 import (
+	"slices"
+
 	"github.com/gypsumford/gypsumford/membership"
 )
 
@@ -10,6 +12,12 @@
 	if f.Platform.Down || !f.SeedObjects {
 		return
 	}
+	for _, key := range n.Members.SeedChecks(f.Now) {
+		f.Platform.Calls++
+		if addresses, _ := membership.DecodeSeed(f.Platform.seeds[key]); !slices.Contains(addresses, n.Instance.PeerAddress) {
+			n.Members.SeedForgotten(f.Now, key)
+		}
+	}
 	for _, write := range n.Members.SeedWrites(f.Now) {
 		f.Platform.Calls += 2
 		addresses, _ := membership.DecodeSeed(f.Platform.seeds[write.Key])
--- a/membership/membershiptest/view.go
+++ b/membership/membershiptest/view.go
@@ -1,6 +1,7 @@
 package membershiptest
 
 import (
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 )
 
@@ -36,7 +37,7 @@
 
 // CountInForce counts the active nodes that have the version or a newer one in force,
 // and the others.
-func (f *Fleet) CountInForce(version uint64) (yes, no int) {
+func (f *Fleet) CountInForce(version epoch.Version) (yes, no int) {
 	for _, n := range f.Nodes {
 		if !n.active() {
 			continue
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	pb "github.com/gypsumford/gypsumford/membership/membershippb"
 )
 
@@ -53,7 +54,7 @@
 		}
 		return nil
 	}
-	t.recordConfigVersion(&sender, p.ConfigVersion)
+	t.recordConfigVersion(&sender, epoch.Version(p.ConfigVersion))
 	if sender.health == alive || sender.health == left || p.Kind == pb.Kind_KIND_PING {
 		return nil // the ack of a ping carries the claim
 	}
@@ -139,7 +140,7 @@
 	return &pb.Packet{
 		Kind:          kind,
 		From:          uint64(t.self.identity.ref),
-		ConfigVersion: t.configVersion,
+		ConfigVersion: uint64(t.configVersion),
 		Digest:        t.members.digest,
 	}
 }
--- a/membership/seeds.go
+++ b/membership/seeds.go
@@ -21,6 +21,7 @@
 
 const (
 	minSeedRefresh = 5 * time.Second
+	seedCheck      = 5 * time.Second  // time between two checks that a written object is still there
 	seedRetry      = 10 * time.Second // time after a failed write, and between two checks of an object's owner
 	seedAddresses  = 8                // addresses in one seed object
 	maxSeedBytes   = 4096
@@ -76,10 +77,35 @@
 	return writes
 }
 
+// SeedChecks returns the keys of the seed objects that the node has written and owns, and
+// that are due to be checked: the platform's store may have come back from a copy, without
+// them. The daemon reads each of them, and calls SeedForgotten if it isn't the one that
+// the node has written.
+func (t *Table) SeedChecks(now time.Time) []string {
+	t.setNow(now)
+	var due []string
+	for _, key := range SeedKeys(t.self.identity.domain) {
+		checked, written := t.seedChecked[key]
+		if !written || t.now < checked+seedCheck || !t.ownsSeed(key) {
+			continue
+		}
+		t.seedChecked[key] = t.now
+		due = append(due, key)
+	}
+	return due
+}
+
+// SeedForgotten makes the write of a seed object due, since the platform has lost it.
+func (t *Table) SeedForgotten(now time.Time, key string) {
+	t.setNow(now)
+	t.seedDue[key] = t.now
+}
+
 // SeedWritten records that a write from SeedWrites succeeded, and schedules the next.
 func (t *Table) SeedWritten(now time.Time, key string) {
 	t.setNow(now)
 	t.seedDue[key] = t.now + min(SeedRefresh, max(minSeedRefresh, t.now))
+	t.seedChecked[key] = t.now
 }
 
 func (t *Table) ownsSeed(key string) bool {
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -65,7 +65,7 @@
 
 func (t *Table) encodeSnapshot(include func(r *record) bool) []byte {
 	names := nameTable{index: map[string]uint32{}}
-	s := &pb.Snapshot{From: uint64(t.self.identity.ref), ConfigVersion: t.configVersion}
+	s := &pb.Snapshot{From: uint64(t.self.identity.ref), ConfigVersion: uint64(t.configVersion)}
 	t.members.each(func(r *record) {
 		if r.health == dead || !include(r) {
 			return
--- a/membership/table.go
+++ b/membership/table.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 )
 
@@ -45,7 +46,7 @@
 	urgent       bool    // an update is to be sent before the next tick
 	lastReceived time.Duration
 
-	configVersion uint64
+	configVersion epoch.Version
 	configSends   int // packets still to send for a new version, even without updates
 	configPeers   []ConfigPeer
 
@@ -55,7 +56,8 @@
 	exchangePeer string
 	lastExchange time.Duration
 
-	seedDue map[string]time.Duration // when to check each seed object again, by its key
+	seedDue     map[string]time.Duration // when to check each seed object again, by its key
+	seedChecked map[string]time.Duration // when each seed object that the node has written was checked last
 }
 
 // NewTable returns the table of the node whose instance is self. Other members are
@@ -74,6 +76,7 @@
 		members:      newDirectory(base),
 		updates:      newUpdateQueue(),
 		seedDue:      map[string]time.Duration{},
+		seedChecked:  map[string]time.Duration{},
 		lastSync:     -syncInterval,
 		gossipBudget: 0,
 	}
--- a/node/store/follower.go
+++ b/node/store/follower.go
@@ -92,6 +92,7 @@
 // Run follows the source until the context ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	backoff := minBackoff
+	restoreBackoff := minBackoff
 	failing := false
 	read := f.Source.Read
 	lastRead := epoch.Unknown
@@ -112,7 +113,11 @@
 			}
 			backoff = minBackoff
 			var changed bool
-			if revision, changed, err = f.wait(ctx, revision); changed && f.Pause != nil {
+			revision, changed, err = f.wait(ctx, revision)
+			if err == nil {
+				restoreBackoff = minBackoff
+			}
+			if changed && f.Pause != nil {
 				break // one read covers all changes, a wait may return only one
 			}
 		}
@@ -126,7 +131,9 @@
 			continue
 		}
 		if errors.Is(err, ErrRestored) {
-			f.sleep(ctx, minBackoff/2+rand.N(minBackoff)) // bounds the calls to a store that keeps changing
+			// The pauses grow while the epoch keeps changing between a read and a wait.
+			f.sleep(ctx, restoreBackoff/2+rand.N(restoreBackoff))
+			restoreBackoff = min(2*restoreBackoff, f.maxBackoff())
 			continue
 		}
 		failing = true
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -1,5 +1,9 @@
 // Package objects defines the interface to the platform's store: versioned values
 // under keys, with conditional writes and watches. Package platform implements it.
+//
+// The store may come back from a copy, see package epoch. An object has therefore a Version,
+// which orders its values across epochs, and a Revision, which names the value within the
+// epoch in which it was read and is what conditional writes and watches refer to.
 package objects
 
 import (
@@ -7,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/epoch"
 )
 
 // MaxValueBytes is the largest size of a value in the store.
@@ -14,9 +20,19 @@
 
 // Object is one value in the store.
 type Object struct {
-	Key     string
-	Version uint64 // increases with each write, also across a deletion; 0 if there is no object
-	Value   []byte
+	Key string
+	// Version increases with each write, also across a deletion. It is the writer's claim of
+	// its epoch, so a value that a copy brought back keeps the version that it had.
+	Version epoch.Version
+	// Revision is the last change of the object in the epoch in which it was read.
+	Revision epoch.Revision
+	Value    []byte
+}
+
+// IsFromCopy reports whether the value was written in an earlier epoch than the one in which
+// it was read: what was written after it may be lost.
+func (o *Object) IsFromCopy() bool {
+	return o.Revision.Epoch != epoch.Unknown && o.Version.Epoch() != o.Revision.Epoch
 }
 
 var (
@@ -27,6 +43,10 @@
 	// ErrConflict means that the object's version is not the one that the write
 	// expected.
 	ErrConflict = errors.New("object version conflict")
+	// ErrRestored means that the store has come back from a copy since the revision that a
+	// write names was read, or while the write was on its way. In the latter case it may
+	// have replaced another value than the one meant.
+	ErrRestored = errors.New("store was restored from a copy")
 	// ErrRefused means that the store refused the request and would refuse a
 	// retry, too, as when the value is too large.
 	ErrRefused = errors.New("request refused by the store")
@@ -40,13 +60,19 @@
 type Store interface {
 	// Get returns the object, or ErrNotFound if there is none.
 	Get(ctx context.Context, key string) (Object, error)
-	// Watch waits until the object has a version above after, and returns the
-	// object. It returns ErrNotModified if there is none within wait.
-	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Object, error)
-	// Put writes the value if the object's version is ifVersion, and returns the
-	// new version. With ifVersion 0 the object must not exist. After ErrUnavailable
-	// the write may have taken effect, or may still do so; Put never retries it.
-	Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error)
+	// Watch waits until the object has changed since the revision, and returns the
+	// object. It returns ErrNotModified if it hasn't within wait. If the store has been
+	// restored since, it returns the object as it is.
+	Watch(ctx context.Context, key string, after epoch.Revision, wait time.Duration) (Object, error)
+	// Put writes the value if the object's last change is the revision, and returns the
+	// written object without its value. With a zero revision the object must not exist.
+	// After ErrUnavailable the write may have taken effect, or may still do so; Put never
+	// retries it.
+	Put(ctx context.Context, key string, value []byte, replaces epoch.Revision) (Object, error)
+	// Epoch returns the store's epoch as the last call has told it.
+	Epoch() epoch.ID
+	// OnChange calls f whenever a call shows something new about the epoch.
+	OnChange(f func(epoch.Change))
 	// List returns the keys of all objects of a kind.
 	List(ctx context.Context, kind string) ([]string, error)
 }
--- a/rollout/config.go
+++ b/rollout/config.go
@@ -3,10 +3,11 @@
 import "time"
 
 const (
-	pullRetryDelay      = time.Second // delay after a failed pull from the same peer
-	maxPeers            = 32          // bound on the peers recorded as having a newer version
-	maxRefusedVersions  = 256         // bound on the refused versions recorded
-	maxReportedVersions = 64          // bound on the reported versions that a starting node records
+	pullRetryDelay      = time.Second            // delay after a failed pull from the same peer
+	maxPeers            = 32                     // bound on the peers recorded as having a newer version
+	maxRefusedVersions  = 256                    // bound on the refused versions recorded
+	maxTickGap          = 500 * time.Millisecond // time between ticks that counts as search for others
+	maxReportedVersions = 64                     // bound on the reported versions that a starting node records
 )
 
 // Config holds the parameters of a Table. A field of zero or less takes its default.
@@ -36,6 +37,10 @@
 	// ready while the platform is unavailable; default 3. In a fleet with fewer
 	// peers all of them must respond, see SetFleetSize.
 	StartupPeers int
+	// CopyWait is how long a new node looks for peers if the platform's configuration
+	// is from a copy; default 8 s, in which the others write the seed objects to the
+	// restored store again.
+	CopyWait time.Duration
 	// MaxDocumentBytes limits the size of a document; default 1 MiB.
 	MaxDocumentBytes int
 }
@@ -65,6 +70,9 @@
 	if c.StartupPeers <= 0 {
 		c.StartupPeers = 3
 	}
+	if c.CopyWait <= 0 {
+		c.CopyWait = 8 * time.Second
+	}
 	if c.MaxDocumentBytes <= 0 {
 		c.MaxDocumentBytes = 1 << 20
 	}
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -14,8 +14,10 @@
 //
 // The version in force only increases: an older document is refused, wherever it
 // comes from. The versions are those of the platform's object, so that a version
-// stands for the same document on all nodes. A document that fails the check is
-// refused, and its version is not pulled again.
+// stands for the same document on all nodes. They name the epoch of the store in which
+// the document was written (package epoch): a restored store gives its revisions out
+// again, and holds older documents than those in force. A document that fails the check
+// is refused, and its version is not pulled again.
 //
 // A node that has just started is Ready when its version is at least as new as
 // the versions that the platform, or a number of peers, reported to it. So it
--- a/rollout/table.go
+++ b/rollout/table.go
@@ -1,12 +1,14 @@
 package rollout
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 )
 
@@ -58,9 +60,9 @@
 	domain   fleet.FailureDomain
 	counters Counters
 
-	version         uint64
-	document        []byte
-	refusedVersions []uint64 // versions whose documents were invalid, ascending
+	version  epoch.Version
+	document []byte
+	refused  []refusal // invalid documents, by ascending version
 
 	peers  []peer // peers that have a newer version, in the order in which they were recorded
 	pulls  []pull // pulls in flight
@@ -72,18 +74,25 @@
 	startup startup
 }
 
+// refusal is an invalid document. Its digest tells it from another one with the same version,
+// which exists if a restored store doesn't state its epoch.
+type refusal struct {
+	version epoch.Version
+	digest  uint64
+}
+
 // peer is another node that has a newer version.
 type peer struct {
 	id        fleet.InstanceID
 	address   string
-	version   uint64
+	version   epoch.Version
 	notBefore time.Time // earliest time of a pull from it
 }
 
 // pull is a request to a peer in flight.
 type pull struct {
 	peer    fleet.InstanceID
-	version uint64
+	version epoch.Version
 	expires time.Time
 }
 
@@ -98,12 +107,12 @@
 		domain:       domain,
 		watches:      true,
 		otherMembers: -1,
-		startup:      startup{responses: map[fleet.InstanceID]uint64{}},
+		startup:      startup{lastTick: now, responses: map[fleet.InstanceID]epoch.Version{}},
 	}
 }
 
 // Version returns the version in force, 0 if there is none.
-func (t *Table) Version() uint64 { return t.version }
+func (t *Table) Version() epoch.Version { return t.version }
 
 // Document returns the document in force, nil if there is none. The caller must
 // not modify it.
@@ -114,17 +123,18 @@
 
 // Offer puts a document from the platform or a peer in force if its version is
 // newer than the one in force and it passes check.
-func (t *Table) Offer(now time.Time, version uint64, document []byte, check func([]byte) error) OfferResult {
+func (t *Table) Offer(now time.Time, version epoch.Version, document []byte, check func([]byte) error) OfferResult {
 	if version <= t.version {
 		t.counters.Older++
 		return Older
 	}
-	if t.isRefused(version) {
+	digest := xxhash.Sum64(document)
+	if i, found := t.findRefused(version); found && t.refused[i].digest == digest {
 		return Invalid
 	}
 	if len(document) > t.cfg.MaxDocumentBytes || check(document) != nil {
 		t.counters.Invalid++
-		t.refuse(version)
+		t.refuse(version, digest)
 		return Invalid
 	}
 	t.counters.Accepted++
@@ -136,16 +146,25 @@
 	return Accepted
 }
 
-func (t *Table) isRefused(version uint64) bool {
-	_, found := slices.BinarySearch(t.refusedVersions, version)
+// findRefused returns where in the list of refused documents the version is or belongs.
+func (t *Table) findRefused(version epoch.Version) (int, bool) {
+	return slices.BinarySearchFunc(t.refused, version, func(r refusal, v epoch.Version) int { return cmp.Compare(r.version, v) })
+}
+
+func (t *Table) isRefused(version epoch.Version) bool {
+	_, found := t.findRefused(version)
 	return found
 }
 
-func (t *Table) refuse(version uint64) {
-	i, _ := slices.BinarySearch(t.refusedVersions, version)
-	t.refusedVersions = slices.Insert(t.refusedVersions, i, version)
-	if len(t.refusedVersions) > maxRefusedVersions {
-		t.refusedVersions = slices.Delete(t.refusedVersions, 0, 1)
+func (t *Table) refuse(version epoch.Version, digest uint64) {
+	i, found := t.findRefused(version)
+	if found {
+		t.refused[i].digest = digest
+	} else {
+		t.refused = slices.Insert(t.refused, i, refusal{version, digest})
+	}
+	if len(t.refused) > maxRefusedVersions {
+		t.refused = slices.Delete(t.refused, 0, 1)
 	}
 	t.prunePeers(func(p *peer) bool { return p.version == version })
 	t.pulls = slices.DeleteFunc(t.pulls, func(p pull) bool { return p.version == version })
@@ -157,7 +176,7 @@
 
 // RecordPeerVersion records the version that a peer reports in its packets, so
 // that a later Tick may pull it.
-func (t *Table) RecordPeerVersion(now time.Time, id fleet.InstanceID, address string, version uint64) {
+func (t *Table) RecordPeerVersion(now time.Time, id fleet.InstanceID, address string, version epoch.Version) {
 	if version <= t.version || t.isRefused(version) || id == t.self {
 		return
 	}
@@ -179,6 +198,7 @@
 // Config.PullTimeout as failed. It chooses at random among the peers with the
 // highest version.
 func (t *Table) Tick(now time.Time) []Pull {
+	t.tickStartup(now)
 	expired := 0
 	t.pulls = slices.DeleteFunc(t.pulls, func(p pull) bool {
 		if now.Before(p.expires) {
--- a/timeline/kind.go
+++ b/timeline/kind.go
@@ -61,6 +61,12 @@
 	// NodeStopping: the process of the node is stopping. Detail: what requested it,
 	// such as a signal.
 	NodeStopping
+	// PlatformRestored: the platform's store came back from a copy and has lost what was
+	// written since. Detail: its epochs before and now.
+	PlatformRestored
+	// ConfigLost: the platform holds an older inventory than the one in force. Detail:
+	// both versions.
+	ConfigLost
 
 	kindCount
 )
@@ -74,6 +80,7 @@
 	MemberSuspect: "member-suspect", MemberLost: "member-lost",
 	TargetState: "target-state", LimitChanged: "limit-changed", LevelChanged: "level-changed",
 	PlatformOut: "platform-out", PlatformBack: "platform-back",
+	PlatformRestored: "platform-restored", ConfigLost: "config-lost",
 	NodeStarted: "node-started", NodeStopping: "node-stopping",
 }
 
