--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -21,6 +21,8 @@
 	FaultSlow          FaultKind = "slow"         // calls are delayed by DelayMs
 	FaultLoseResponses FaultKind = "lose-answers" // writes take effect, but the connection is closed without a response
 	FaultLateEffect    FaultKind = "late-effect"  // as FaultLoseResponses, and the write is applied only after DelayMs
+	FaultCopy          FaultKind = "copy"         // happens once: the store's state is copied
+	FaultRestore       FaultKind = "restore"      // happens once: the store comes back from the last copy, or empty, in a new epoch
 )
 
 // Fault is the body of POST /fault.
@@ -38,7 +40,7 @@
 func (f Fault) Check() error {
 	var found error
 	switch f.Kind {
-	case FaultUp, FaultDown, FaultHang, FaultSlow, FaultLoseResponses, FaultLateEffect:
+	case FaultUp, FaultDown, FaultHang, FaultSlow, FaultLoseResponses, FaultLateEffect, FaultCopy, FaultRestore:
 	default:
 		found = errors.CombineErrors(found, errors.Newf("kind: unknown fault %q", f.Kind))
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -38,15 +38,22 @@
 
 // Server is the emulated store: it applies faults to the calls and counts them.
 type Server struct {
-	store  http.Handler
-	faults *Faults
+	objects *platformtest.Store
+	store   http.Handler // of the objects
+	faults  *Faults
+	// copied is what FaultRestore brings back: the state at the last FaultCopy, or the empty
+	// one.
+	copied atomic.Pointer[platformtest.Copy]
 
 	reads, writes, watches, conflicts, faultHits, badRequests atomic.Int64
 }
 
 // NewServer returns an empty store that applies the faults.
 func NewServer(faults *Faults) *Server {
-	return &Server{store: platformtest.NewHandler(), faults: faults}
+	s := &Server{faults: faults}
+	s.objects, s.store = platformtest.NewHandler()
+	s.copied.Store(s.objects.Copy())
+	return s
 }
 
 // Handler serves POST /fault and GET /stats; all other calls go to the store.
@@ -79,7 +86,13 @@
 	decoder := json.NewDecoder(io.LimitReader(r.Body, 4096))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&fault)
-	if err == nil {
+	switch {
+	case err != nil:
+	case fault.Kind == FaultCopy:
+		s.copied.Store(s.objects.Copy())
+	case fault.Kind == FaultRestore:
+		s.objects.Restore(s.copied.Load())
+	default:
 		err = s.faults.Set(fault, time.Now())
 	}
 	if err != nil {
--- a/standin/scenario/action.go
+++ b/standin/scenario/action.go
@@ -21,7 +21,7 @@
 	VerbTerminate  = "terminate"  // terminate PROCESS (SIGTERM)
 	VerbStart      = "start"      // start PROCESS
 	VerbReplace    = "replace"    // replace PROCESS: kill, and start again after a pause
-	VerbPlatform   = "platform"   // platform up|down|hang|slow|lose-answers|late-effect [P%] [DELAY]
+	VerbPlatform   = "platform"   // platform up|down|hang|slow|lose-answers|late-effect|copy|restore [P%] [DELAY]
 )
 
 // processKinds are the kinds of PROCESS, which is written as node NAME, target
@@ -32,8 +32,9 @@
 // reportModes are the modes of VerbReport.
 var reportModes = []string{"true", "stuck", "lie", "late"}
 
-// platformFaults are the kinds of faults of VerbPlatform; "up" ends them.
-var platformFaults = []string{"up", "down", "hang", "slow", "lose-answers", "late-effect"}
+// platformFaults are the kinds of faults of VerbPlatform; "up" ends them, and "copy" and
+// "restore" happen once.
+var platformFaults = []string{"up", "down", "hang", "slow", "lose-answers", "late-effect", "copy", "restore"}
 
 // action parses the action of an at or every statement.
 func (p *parser) action(at time.Duration) {
