node: records outlive a clock that goes back

Callers would see: requests for the only target of a service refused with 'no-target' for as long as the process runs. Cause: a node's incarnation is its start by the clock, and records of the same instance are ordered by it. Change: a node that finds a record of its own instance with a later incarnation takes the next one for itself. Evidence: TestNodeWhoseEarlierProcessHadAClockAhead failed before (20 s without a target) and passes.

--- a/node/target.go
+++ b/node/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -33,18 +34,30 @@
 // that a peer has completed with what it heard of the target. The record may be stale, so
 // it makes no target ready.
 func (n *Node) observePublished(r *roster.Record) {
-	if r.Target.ID == "" {
-		return
-	}
-	changed := n.delivery.observeEarlier(r.Target)
-	if r.Incarnation != n.Record().Incarnation && n.delivery.observePublished(r.Target) {
-		changed = true
+	isEarlier := r.Incarnation != n.Record().Incarnation
+	changed := n.succeed(r.Incarnation)
+	if r.Target.ID != "" {
+		changed = n.delivery.observeEarlier(r.Target) || changed
+		changed = isEarlier && n.delivery.observePublished(r.Target) || changed
 	}
 	if changed {
 		n.targetChanged()
 	}
 }
 
+// succeed makes the node's incarnation follow that of an earlier process whose clock was
+// ahead. Otherwise all nodes would take this process's records for older ones. It reports
+// whether the incarnation changed.
+func (n *Node) succeed(earlier int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if earlier <= n.mu.record.Incarnation || earlier == math.MaxInt64 {
+		return false
+	}
+	n.mu.record.Incarnation = earlier + 1
+	return true
+}
+
 // InvalidHeartbeat logs a heartbeat that can't be parsed.
 func (n *Node) InvalidHeartbeat(err error) { n.log.inputIgnored("heartbeat", err.Error()) }
 
