--- a/epoch/tracker.go
+++ b/epoch/tracker.go
@@ -6,9 +6,10 @@
 const (
 	// Same means that the response is of the current epoch.
 	Same Finding = iota
-	// First means that no response stated an epoch before.
+	// First means that this is the first response, and states an epoch.
 	First
-	// Restored means that the store has begun a new epoch.
+	// Restored means that the store has begun a new epoch. A first epoch that is stated
+	// after responses without one is new, too: it isn't known what these belonged to.
 	Restored
 	// WentBack means that the store states a lower epoch than before, in a response to a
 	// request that was sent when the higher one was known. It begins a new history, too.
@@ -45,8 +46,9 @@
 
 // Tracker holds the current epoch.
 type Tracker struct {
-	current ID
-	changes Mark // number of changes of the current epoch
+	current  ID
+	changes  Mark // number of changes of the current epoch
+	received bool // a response was received
 }
 
 // Current returns the current epoch.
@@ -60,13 +62,15 @@
 // back.
 func (t *Tracker) Received(sent Mark, stated ID, mayBeStale bool) Change {
 	change := Change{From: t.current, To: stated}
+	isFirst := !t.received
+	t.received = true
 	switch {
 	case stated == t.current:
 		return change
 	case stated == Unknown:
 		change.Finding = NotStated
 		return change
-	case t.current == Unknown:
+	case isFirst:
 		change.Finding = First
 	case stated > t.current:
 		change.Finding = Restored
--- a/epoch/tracker_test.go
+++ b/epoch/tracker_test.go
@@ -9,6 +9,12 @@
 )
 
 func TestTracker(t *testing.T) {
+	Convey("An epoch that is stated after responses without one begins a new history", t, func() {
+		var tracker epoch.Tracker
+		So(tracker.Received(tracker.Sent(), epoch.Unknown, false).Finding, ShouldEqual, epoch.Same)
+		So(tracker.Received(tracker.Sent(), 1, false).BeginsHistory(), ShouldBeTrue)
+		So(tracker.Received(tracker.Sent(), 1, false).Finding, ShouldEqual, epoch.Same)
+	})
 	Convey("Given a store whose responses state epoch 4", t, func() {
 		var tracker epoch.Tracker
 		So(tracker.Received(tracker.Sent(), 4, false).Finding, ShouldEqual, epoch.First)
