node: a store without a usable epoch is called rarely, and loses nothing

Cause: a follower that had been told of an epoch read again until a read stated it; a publication whose response was of another epoch was repeated without a pause; each change of the epoch was handled at once. Change: a read that states no epoch isn't compared; publications pause; restores are handled at most once a second. Agents were not affected (TestAgentWithAStoreThatKeepsChangingItsEpoch passes before and after).

--- a/agent/restored_test.go
+++ b/agent/restored_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/gypsumford/gypsumford/objects"
 	"github.com/gypsumford/gypsumford/platform"
@@ -108,3 +111,22 @@
 	}
 	until(t, "the new agent has the second inventory in force", inForce(late, "second"))
 }
+
+// Guards against agents that call a store without end whose epoch changes with each response.
+func TestAgentWithAStoreThatKeepsChangingItsEpoch(t *testing.T) {
+	fake, url := newFakePlatform(t)
+	fake.put(ConfigKey, inventoryWith("first"))
+	shop := startNode(t, url, "shop", countStock)
+	until(t, "the first inventory is in force", inForce(shop, "first"))
+	var changing atomic.Uint64
+	fake.store.SetEraHeader(func(uint64) string { return strconv.FormatUint(7+changing.Add(1)%2, 10) })
+	time.Sleep(time.Second)
+	before := fake.store.Calls()
+	time.Sleep(2 * time.Second)
+	if calls := fake.store.Calls() - before; calls > 2*20 {
+		t.Errorf("%d calls to the platform in 2 s", calls)
+	}
+	if got := shop.call("shop/first"); got.status != http.StatusOK {
+		t.Errorf("the inventory isn't in force any more: %+v", got)
+	}
+}
--- a/node/epoch.go
+++ b/node/epoch.go
@@ -25,21 +25,37 @@
 	ownRecordDelay = 5 * time.Second
 	// republishInterval is the time between checks for records to be written again.
 	republishInterval = 250 * time.Millisecond
+	// minRestoreInterval is the least time between two restores that are handled. A store whose
+	// replicas state different epochs may seem to be restored with each response.
+	minRestoreInterval = 1 * time.Second
 	// minEpochPollInterval is the least time between reads because of an epoch that peers report.
 	minEpochPollInterval = 1 * time.Second
 )
 
-// epochChanged handles what a response of the store showed about its epoch. After a restore
-// the node reads the whole state, writes its record again and tells its peers.
+// epochChanged handles what a response of the store showed about its epoch.
 func (n *Node) epochChanged(c epoch.Change) {
 	n.metrics.storeEpochs.Add(c.Finding.String(), 1)
 	n.log.storeEpoch(c)
-	if !c.BeginsHistory() {
+	if !c.BeginsHistory() || !n.restore.CompareAndSwap(false, true) {
 		return
 	}
-	n.configurations.Restored(c.To)
-	n.records.Restored(c.To)
-	n.publishWithin(0)
+	sinceLast := time.Duration(n.now().UnixNano() - n.lastRestore.Load())
+	if sinceLast >= minRestoreInterval {
+		n.handleRestore()
+		return
+	}
+	time.AfterFunc(minRestoreInterval-sinceLast, n.handleRestore)
+}
+
+// handleRestore reads the whole state of the store's current epoch, writes the node's record
+// again and tells peers.
+func (n *Node) handleRestore() {
+	n.lastRestore.Store(n.now().UnixNano())
+	n.restore.Store(false)
+	current := n.platform.Epochs.Epoch()
+	n.configurations.Restored(current)
+	n.records.Restored(current)
+	n.publishWithin()
 	n.links.Announce()
 }
 
@@ -48,13 +64,13 @@
 	return rand.N(time.Duration(n.instances()*pages)*restoreReadSpacing + 1)
 }
 
-// publishWithin writes the node's record again after the delay and a time drawn so that all
-// nodes together stay within the store's rates.
-func (n *Node) publishWithin(delay time.Duration) {
+// publishWithin writes the node's record again after a time drawn so that all nodes together
+// stay within the store's rates.
+func (n *Node) publishWithin() {
 	if n.Record().Sequence == 0 {
 		return // nothing was published yet
 	}
-	time.AfterFunc(delay+rand.N(time.Duration(n.instances())*republish.OwnSpacing+1), n.signalPublish)
+	time.AfterFunc(rand.N(time.Duration(n.instances())*republish.OwnSpacing+1), n.signalPublish)
 }
 
 // StoreEpoch returns the store's epoch, for peers.
@@ -124,7 +140,7 @@
 		n.mu.Unlock()
 		if stillOutdated {
 			n.log.recordWrittenAgain(n.settings.Name, "the store held an older record or none")
-			n.publishWithin(0)
+			n.publishWithin()
 		}
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -148,6 +148,8 @@
 	// recordsMissing is the number of instances of which the store, when it was last read,
 	// held no record or an older one than the node knows.
 	recordsMissing atomic.Int64
+	restore        atomic.Bool  // a restore of the store is going to be handled
+	lastRestore    atomic.Int64 // when one was handled last, in Unix nanoseconds
 	// lastEpochPoll is when the node last read the store because of an epoch that a peer
 	// reported, in Unix nanoseconds.
 	lastEpochPoll atomic.Int64
--- a/node/store/follower.go
+++ b/node/store/follower.go
@@ -77,10 +77,11 @@
 	}
 }
 
-// isOutdated reports whether the store has begun another epoch since the given one.
+// isOutdated reports whether the store has begun another epoch since the given one. A read
+// that states no epoch can't be compared, and reading again may state none either.
 func (f *Follower[T]) isOutdated(read epoch.ID) bool {
 	current := epoch.ID(f.restored.Load())
-	return current != epoch.Unknown && current != read
+	return current != epoch.Unknown && read != epoch.Unknown && current != read
 }
 
 // Poll reads the source once, concurrently with Run's wait for changes. It ignores errors,
@@ -98,7 +99,7 @@
 	lastRead := epoch.Unknown
 	for ctx.Err() == nil {
 		if f.isOutdated(lastRead) {
-			read = f.Source.Read // the state of another epoch may be older than what is known
+			read = f.Source.Read // a stale state may be of the earlier epoch
 			f.pauseAfterRestore(ctx)
 		}
 		revision, err := f.readAll(ctx, read)
--- a/node/store/follower_test.go
+++ b/node/store/follower_test.go
@@ -255,6 +255,21 @@
 		failures, _ := follow(t, source, 2, nil, nil)
 		So(failures, ShouldEqual, 0)
 	})
+	Convey("A store that states no epoch any more isn't read without end", t, func() {
+		source := &scriptedSource{wait: waitForever}
+		source.read = func(n int) ([]Change[int], epoch.Revision, error) {
+			if n == 1 {
+				return values(n), inEpoch(1), nil
+			}
+			return values(n), epoch.Revision{Number: 7}, nil
+		}
+		follow(t, source, 2, nil, func(f *Follower[int]) {
+			time.Sleep(50 * time.Millisecond)
+			f.Restored(2)
+			time.Sleep(200 * time.Millisecond)
+		})
+		So(source.reads, ShouldEqual, 2)
+	})
 	Convey("A restore that another call has shown ends the wait, and the state is read once", t, func() {
 		source := &scriptedSource{wait: waitForever}
 		source.read = func(n int) ([]Change[int], epoch.Revision, error) {
--- a/node/target.go
+++ b/node/target.go
@@ -123,10 +123,9 @@
 			if err == nil {
 				break
 			}
-			if errors.Is(err, store.ErrRestored) {
-				continue // the response is of the lost history
+			if !errors.Is(err, store.ErrRestored) { // else the response is of the lost history
+				n.storeFailed("store: publication", err)
 			}
-			n.storeFailed("store: publication", err)
 			time.Sleep(wait/2 + rand.N(wait))
 			wait = min(2*wait, n.backoffLimit())
 		}
