--- a/command/apply/apply.go
+++ b/command/apply/apply.go
@@ -154,7 +154,7 @@
 		return current.Revision, nil
 	case fromFile.Epoch != now:
 		return epoch.Revision{}, errors.Newf("the file was made from version %d in epoch %s of the platform's store, which is now in epoch %s: "+
-			"it came back from a copy and may have lost that version; nothing was changed.%s\n"+
+			"that version may be lost, or its number that of another one; nothing was changed.%s\n"+
 			"To go on: 'gypsumctl get' the present version, make your change in it, and apply that; or replace the present version by -expect %d.",
 			fromFile.Number, fromFile.Epoch, now, indent(describeChanges("From the present inventory to your file:",
 				inventory.Diff(current.Inventory, document.Inventory))), current.Revision.Number)
