node, quarantine: log what was in flight when a target's process ended

The log couldn't tell a request that crashes targets from overload or from bad instances: it named neither the end of a process nor what makes two requests the same. The node now checks after a broken connection whether the target refuses connections and has closed the idle ones, and logs 'target ended' with the fingerprints of the calls in flight.

--- a/node/delivery.go
+++ b/node/delivery.go
@@ -55,6 +55,7 @@
 		drainTime     time.Duration
 		wakeTimer     *time.Timer // grants slots that become free with time; nil if none is due
 		calls         callCounts
+		runs          map[*run]struct{} // at the target, those included that were cancelled a moment ago
 		// invalidLoggedAt is when a statement that can't be read was last logged.
 		invalidLoggedAt time.Time
 		limitLoggedAt   time.Time // when a change of the rate limit was last logged
@@ -72,6 +73,7 @@
 	d.mu.local = roster.NewLocalTarget(s.HeartbeatInterval)
 	d.mu.limiter = limiter.New(0)
 	d.mu.waiting = map[*limiter.Item]chan link.Reason{}
+	d.mu.runs = map[*run]struct{}{}
 	return d
 }
 
@@ -320,10 +322,13 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	sentTo, sentAt := d.target(), d.now()
+	inFlight := &run{call: c, fingerprint: fingerprintOf(c), target: sentTo}
 	response, err := d.sender.Send(ctx, &egress.Request{
 		ID: c.RequestID, TargetID: c.TargetID, Method: c.Method, URI: c.URI, Host: c.Host,
 		Header: c.Header, Body: c.Body, RemainingTime: remaining, CallerService: c.CallerService,
+		OnWrite: func() { d.beginWrite(inFlight) },
 	})
+	defer func() { d.endRunInFlight(inFlight, ctx.Err() != nil) }()
 	d.observeResponse(c, sentTo, sentAt, response)
 	switch {
 	case err == nil && response.Status < http.StatusMultipleChoices && !response.Fields.Signed:
@@ -346,6 +351,7 @@
 		return &link.Reply{Outcome: link.OutcomeUnknown, Reason: link.ReasonCancelled, Arrived: true}
 	}
 	d.log.brokenResponse(c, err)
+	d.hasCrashed(inFlight)
 	return &link.Reply{Outcome: link.OutcomeUnknown, Reason: link.ReasonBroken, Arrived: true}
 }
 
--- a/node/egress/dialect.go
+++ b/node/egress/dialect.go
@@ -18,6 +18,8 @@
 	Body          []byte
 	RemainingTime time.Duration // until the deadline
 	CallerService string        // service of the entry node's target
+	// OnWrite, if set, is called before the first byte of the request is written.
+	OnWrite func()
 }
 
 // ResponseFields is what the header of a target's response states about the request.
--- a/node/egress/pool.go
+++ b/node/egress/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,6 +59,24 @@
 	}
 }
 
+// HasEnded reports whether the target's process has ended: it refuses connections, and has
+// closed all those that it had accepted. A target that only resets connections beyond its limit
+// keeps the others open.
+func (p *Pool) HasEnded(ctx context.Context) bool {
+	c, err := p.dial(ctx)
+	if err == nil {
+		c.close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) && !p.hasOpenIdle()
+}
+
+func (p *Pool) hasOpenIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.mu.idle, func(c *conn) bool { return isReusable(c.socket) })
+}
+
 func (p *Pool) popIdle() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/egress/send.go
+++ b/node/egress/send.go
@@ -91,6 +91,9 @@
 // exchange writes the request and reads its response. idleTimeout is how long the connection
 // may stay unused in the pool, 0 if it must not be reused.
 func (s *Sender) exchange(c *conn, r *Request) (response *Response, idleTimeout time.Duration, err error) {
+	if r.OnWrite != nil {
+		r.OnWrite()
+	}
 	written := make(chan error, 1)
 	if len(r.Body) <= inlineBodyBytes {
 		written <- s.write(c, r)
--- a/node/log.go
+++ b/node/log.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/quarantine"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -53,6 +54,29 @@
 	l.Info("answer broken", "request", c.RequestID, "target", c.TargetID, "error", err.Error())
 }
 
+// targetEnded logs that the target's process has ended, and the calls that were in flight
+// there. They are in one line, because the many lines about calls that end with the target may
+// exceed the limit of lines.
+func (l decisionLog) targetEnded(target *roster.Target, planned bool, suspects []*run, now time.Time) {
+	calls := make([]suspectCall, len(suspects))
+	for i, s := range suspects {
+		calls[i] = suspectCall{
+			Fingerprint: s.fingerprint, Request: s.call.RequestID, Route: s.call.Route,
+			RanMs: now.Sub(s.writtenAt).Milliseconds(), Cancelled: !s.cancelledAt.IsZero(),
+		}
+	}
+	l.Info("target ended", "target", target.ID, "born", target.Born, "planned", planned, "inFlight", calls)
+}
+
+// suspectCall is a call that was in flight when its target ended, as it is logged.
+type suspectCall struct {
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+	Request     string                 `json:"request"`
+	Route       string                 `json:"route"`
+	RanMs       int64                  `json:"ranMs"`
+	Cancelled   bool                   `json:"cancelled,omitempty"`
+}
+
 // requestRefused logs a request that was refused at the entry, and why.
 func (l decisionLog) requestRefused(r *request, decision *loadshed.Decision, cost loadshed.CostStatus, retryAfter time.Duration) {
 	l.Info("request refused", "request", r.RequestID, "route", r.route.Name, "priority", r.priority, "cost", cost.String(),
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -26,6 +26,7 @@
 	refused        expvar.Map // at the entry, by priority
 	retries        expvar.Int // sends after the request had reached a target
 	targetCalls    expvar.Map // calls for the local target, by outcome and reason
+	targetEnds     expvar.Map // ends of the local target's process, planned or by a crash
 	storeFailures  expvar.Map // failed calls to the store, by dependency
 	storeEpochs    expvar.Map // what responses of the store showed about its epoch, by finding
 	requestLatency histogram  // from the arrival of a request to its end
@@ -43,7 +44,7 @@
 
 func newMetrics() *metrics {
 	m := &metrics{gauges: map[string]func() int64{}}
-	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.storeFailures, &m.storeEpochs} {
+	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.storeFailures, &m.storeEpochs} {
 		variable.Init()
 	}
 	m.requestLatency.init()
@@ -79,6 +80,7 @@
 	variable("refused_at_entry", &m.refused)
 	variable("repeats", &m.retries)
 	variable("target_calls", &m.targetCalls)
+	variable("target_ends", &m.targetEnds)
 	variable("store_failures", &m.storeFailures)
 	variable("store_epochs", &m.storeEpochs)
 	variable("request_latency_us", &m.requestLatency)
