quarantine, node: requests that crash targets are held back by all nodes

What callers saw: one request ended all targets of a service over and over; lookups of that service ended not run for three seconds at a time. Cause: a crash under a request was taken for the target's fault alone. The request went on to the next target, and nothing remembered it when it was sent again, here or at another node. Change: package quarantine decides without I/O. The node beside a target that crashes reports what was in flight in its record, which reaches all nodes and the store; a run that completes refutes it. Suspects run at one target of their service, from two crashes on one at a time; after three crashes without a completion the request is refused, for 10 minutes and longer each time. A target whose process has ended is absent at once, not when its heartbeats expire. Nodes that start adopt what earlier processes had seen before they write their record.

--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -22,6 +22,7 @@
 	"loadshed",
 	"membership",
 	"pipeline",
+	"quarantine",
 	"republish",
 	"retrybudget",
 	"rollout",
--- a/node/crash.go
+++ b/node/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gypsumford/gypsumford/node/link"
@@ -15,8 +16,6 @@
 	// cancelledRunMemory is how long a run that was cancelled counts as in flight. The target
 	// may still work on it, and crash by it.
 	cancelledRunMemory = 1 * time.Second
-	// maxSuspectsPerCrash bounds the calls that are recorded as in flight at a crash.
-	maxSuspectsPerCrash = 128
 )
 
 // run is a call that is sent to the local target, until it ends.
@@ -42,8 +41,9 @@
 	d.mu.runs[r] = struct{}{}
 }
 
-// endRunInFlight records the end of a run. One that was cancelled is kept for a while.
-func (d *delivery) endRunInFlight(r *run, cancelled bool) {
+// endWrite records that a call is no longer in flight at the target. One that was cancelled is
+// kept for a while.
+func (d *delivery) endWrite(r *run, cancelled bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
@@ -67,34 +67,57 @@
 }
 
 // hasCrashed reports whether the target crashed while the call was in flight. It is called
-// when the connection of the call has broken. A target that was leaving may end.
+// when the connection of the call has broken. When it returns, the crash has been reported to
+// peers.
 func (d *delivery) hasCrashed(r *run) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), endedCheckTimeout)
-	defer cancel()
+	d.crashCheck.Lock()
+	defer d.crashCheck.Unlock()
 	d.mu.Lock()
 	known := r.crashed
 	d.mu.Unlock()
-	if !known && !d.pool.HasEnded(ctx) {
+	if known {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endedCheckTimeout)
+	defer cancel()
+	if !d.pool.HasEnded(ctx) {
 		return false
 	}
+	crash, isCrash := d.recordEnd(r.target)
+	if isCrash {
+		crash.Suspects = d.tables.mostSuspicious(crash.Suspects)
+		d.onCrash(crash)
+	}
+	return isCrash
+}
+
+// recordEnd records that the process of an incarnation of the target has ended. The end is
+// a crash unless the target was leaving. What was in flight and hasn't completed elsewhere a
+// moment ago is suspect.
+func (d *delivery) recordEnd(target roster.Target) (crash quarantine.Crash, isCrash bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r.crashed {
-		return true
-	}
+	now := d.now()
 	current, drainStart := d.mu.local.Target()
-	planned := current.ID == r.target.ID && (!drainStart.IsZero() || current.Leaving)
-	suspects := d.runsInFlight(r.target)
-	d.log.targetEnded(&r.target, planned, suspects, d.now())
-	if planned {
+	isCurrent := current.ID == target.ID && current.Born == target.Born
+	isCrash = !isCurrent || drainStart.IsZero() && !current.Leaving
+	inFlight := d.runsInFlight(target)
+	d.log.targetEnded(&target, !isCrash, inFlight, now)
+	if !isCrash {
 		d.metrics.targetEnds.Add("planned", 1)
-		return false
+		return crash, false
 	}
 	d.metrics.targetEnds.Add("crash", 1)
-	for _, s := range suspects {
-		s.crashed = true
+	d.mu.local.Ended(target)
+	crash = quarantine.Crash{Born: target.Born, At: now.UnixMilli(), Service: target.Service, Version: target.Version}
+	slices.SortFunc(inFlight, func(a, b *run) int { return b.writtenAt.Compare(a.writtenAt) })
+	for _, r := range inFlight {
+		r.crashed = true
+		if !d.mu.completions.Refutes(r.fingerprint, crash.At) {
+			crash.Suspects = append(crash.Suspects, r.fingerprint)
+		}
 	}
-	return true
+	return crash, true
 }
 
 // runsInFlight returns the runs at an incarnation of the target, those included that were
@@ -103,9 +126,50 @@
 	d.forgetCancelled(d.now())
 	var runs []*run
 	for r := range d.mu.runs {
-		if r.target.ID == target.ID && r.target.Born == target.Born && !r.crashed && len(runs) < maxSuspectsPerCrash {
+		if r.target.ID == target.ID && r.target.Born == target.Born && !r.crashed {
 			runs = append(runs, r)
 		}
 	}
 	return runs
 }
+
+// completed records that a request has run to a response, and reports to peers that it is no
+// suspect any more.
+func (d *delivery) completed(f quarantine.Fingerprint) {
+	d.mu.Lock()
+	d.mu.completions.Record(d.now(), f)
+	d.mu.Unlock()
+	if clearances := d.tables.clearancesFor(f); len(clearances) > 0 {
+		d.onCleared(clearances)
+	}
+}
+
+// refutes reports whether a request that is a suspect by a crash has completed at the local
+// target.
+func (d *delivery) refutes(f quarantine.Fingerprint, crash int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mu.completions.Refutes(f, crash)
+}
+
+// beginProbation decides whether the local target may run a call now, by what is known of its
+// request. endProbation is called when the run has ended.
+func (d *delivery) beginProbation(f quarantine.Fingerprint) (endProbation func(), mayRun bool) {
+	placement, candidates := d.tables.place(d.now(), f, d.service)
+	if placement.Status == quarantine.Free {
+		return func() {}, true
+	}
+	if !placement.Allows(candidates, d.instance) {
+		return nil, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.mu.probation.Begin(placement.IsApart()) {
+		return nil, false
+	}
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.mu.probation.End()
+	}, true
+}
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumford/gypsumford/node/egress"
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/quarantine"
 	"github.com/gypsumford/gypsumford/roster"
 )
 
@@ -33,18 +34,26 @@
 
 // delivery queues calls for the local target and sends them to it.
 type delivery struct {
-	now     func() time.Time
-	service string // of the local target
-	pool    *egress.Pool
-	sender  *egress.Sender
-	dialect egress.Dialect
-	tables  *tables
-	metrics *metrics
-	log     decisionLog
-	started time.Time // when the node started
+	now      func() time.Time
+	service  string // of the local target
+	instance string // beside which it stands
+	pool     *egress.Pool
+	sender   *egress.Sender
+	dialect  egress.Dialect
+	tables   *tables
+	metrics  *metrics
+	log      decisionLog
+	started  time.Time // when the node started
 	// onTargetChanged is called when the local target's state has changed because of what
 	// it stated in a response.
 	onTargetChanged func()
+	// onCrash is called when the local target has crashed, and onCleared when a suspect has run
+	// to a response.
+	onCrash   func(quarantine.Crash)
+	onCleared func([]quarantine.Clearance)
+	// crashCheck is held while a broken connection is checked for a crash of the target, so that
+	// a crash is reported once, and before the replies to the calls that it broke.
+	crashCheck sync.Mutex
 
 	mu struct {
 		sync.Mutex
@@ -56,6 +65,8 @@
 		wakeTimer     *time.Timer // grants slots that become free with time; nil if none is due
 		calls         callCounts
 		runs          map[*run]struct{} // at the target, those included that were cancelled a moment ago
+		completions   quarantine.Completions
+		probation     quarantine.Probation
 		// invalidLoggedAt is when a statement that can't be read was last logged.
 		invalidLoggedAt time.Time
 		limitLoggedAt   time.Time // when a change of the rate limit was last logged
@@ -66,7 +77,7 @@
 func newDelivery(s *Settings, dialect egress.Dialect, now func() time.Time) *delivery {
 	pool := egress.NewPool(s.TargetAddress, now)
 	d := &delivery{
-		now: now, service: s.Service, pool: pool, dialect: dialect,
+		now: now, service: s.Service, instance: s.Name, pool: pool, dialect: dialect,
 		sender: egress.NewSender(pool, dialect, s.MemoryBytes), started: now(),
 	}
 	d.mu.drainTime = s.DrainTime
@@ -155,9 +166,22 @@
 	if refused := d.acquireSlot(ctx, c, item); refused != nil {
 		return d.finish(refused, c)
 	}
+	fingerprint := fingerprintOf(c)
+	endProbation, mayRun := d.beginProbation(fingerprint)
+	if !mayRun {
+		d.mu.Lock()
+		d.mu.limiter.Release(item)
+		d.wake()
+		d.mu.Unlock()
+		return d.finish(notRun(link.ReasonQuarantined), c)
+	}
+	defer endProbation()
 	started := d.now()
 	endRun := d.tables.beginRun(c.Route, deadline, callgraph.Importance{Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited})
-	reply := d.send(ctx, c, deadline)
+	reply := d.send(ctx, c, fingerprint, deadline)
+	if reply.Outcome == link.OutcomeResponded {
+		d.completed(fingerprint)
+	}
 	reply.Duration = d.now().Sub(started)
 	endRun(reply.Duration)
 	d.mu.Lock()
@@ -311,7 +335,7 @@
 }
 
 // send sends a call that has a slot to the local target.
-func (d *delivery) send(ctx context.Context, c *link.Call, deadline time.Time) *link.Reply {
+func (d *delivery) send(ctx context.Context, c *link.Call, f quarantine.Fingerprint, deadline time.Time) *link.Reply {
 	remaining := deadline.Sub(d.now())
 	if remaining <= 0 {
 		return notRun(link.ReasonTooLate)
@@ -322,13 +346,13 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	sentTo, sentAt := d.target(), d.now()
-	inFlight := &run{call: c, fingerprint: fingerprintOf(c), target: sentTo}
+	inFlight := &run{call: c, fingerprint: f, target: sentTo}
 	response, err := d.sender.Send(ctx, &egress.Request{
 		ID: c.RequestID, TargetID: c.TargetID, Method: c.Method, URI: c.URI, Host: c.Host,
 		Header: c.Header, Body: c.Body, RemainingTime: remaining, CallerService: c.CallerService,
 		OnWrite: func() { d.beginWrite(inFlight) },
 	})
-	defer func() { d.endRunInFlight(inFlight, ctx.Err() != nil) }()
+	defer func() { d.endWrite(inFlight, ctx.Err() != nil) }()
 	d.observeResponse(c, sentTo, sentAt, response)
 	switch {
 	case err == nil && response.Status < http.StatusMultipleChoices && !response.Fields.Signed:
@@ -351,7 +375,9 @@
 		return &link.Reply{Outcome: link.OutcomeUnknown, Reason: link.ReasonCancelled, Arrived: true}
 	}
 	d.log.brokenResponse(c, err)
-	d.hasCrashed(inFlight)
+	if d.hasCrashed(inFlight) {
+		return crashedReply()
+	}
 	return &link.Reply{Outcome: link.OutcomeUnknown, Reason: link.ReasonBroken, Arrived: true}
 }
 
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/quarantine"
 	"github.com/gypsumford/gypsumford/retrybudget"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
@@ -35,6 +36,9 @@
 	// requests, so that another send can succeed; the retry budget still limits the sends
 	// that reach a target.
 	maxRefusedSends = 8
+	// maxCrashRetries is how often a run is repeated that was lost because its target crashed.
+	// Such runs don't count as attempts of the route.
+	maxCrashRetries = 1
 	// minRemainingTime is the least remaining time with which a request is sent.
 	minRemainingTime = 10 * time.Millisecond
 )
@@ -56,23 +60,27 @@
 // request is a caller's request and the state of its sends.
 type request struct {
 	*ingress.Request
-	configuration *route.Configuration
-	route         *route.Route
-	service       string
-	priority      int   // of the route, or of the root request that this call belongs to
-	rank          uint8 // of the root request, among those of the priority
-	deadline      time.Time
-	origin        callgraph.Origin
-	sentAt        time.Time      // when it was last sent
-	sends         int            // to nodes
-	arrivals      int            // at targets, including those that were refused there
-	runs          int            // at targets, including those that may have run
-	excluded      []string       // IDs of the targets that it was sent to
-	unserved      bool           // no target of the service is known
-	slowStart     bool           // admitted before the route's cost was known
-	lastReason    link.Reason    // of the last reply
-	choice        balance.Choice // of the last target
-	lastReply     *link.Reply    // the last failed response; the caller gets it if no retry succeeds
+	configuration  *route.Configuration
+	route          *route.Route
+	service        string
+	priority       int   // of the route, or of the root request that this call belongs to
+	rank           uint8 // of the root request, among those of the priority
+	deadline       time.Time
+	origin         callgraph.Origin
+	sentAt         time.Time // when it was last sent
+	sends          int       // to nodes
+	arrivals       int       // at targets, including those that were refused there
+	runs           int       // at targets, including those that may have run
+	excluded       []string  // IDs of the targets that it was sent to
+	hasFingerprint bool
+	unserved       bool           // no target of the service is known
+	slowStart      bool           // admitted before the route's cost was known
+	lastReason     link.Reason    // of the last reply
+	choice         balance.Choice // of the last target
+	crashes        int            // runs that were lost because the target crashed
+	placement      quarantine.Placement
+	fingerprint    quarantine.Fingerprint // valid if hasFingerprint is set
+	lastReply      *link.Reply            // the last failed response; the caller gets it if no retry succeeds
 }
 
 // IsIdempotent reports whether a request may run more than once, by its route.
@@ -194,6 +202,9 @@
 			if r.unserved {
 				d.onNoTarget()
 			}
+			if r.lastReason == link.ReasonQuarantined {
+				return d.giveUp(ctx, r, r.heldWhy())
+			}
 			return d.giveUp(ctx, r, "no-target")
 		}
 		reply := d.sendTo(ctx, r, choice)
@@ -218,6 +229,11 @@
 	defer t.mu.Unlock()
 	candidates := t.mu.roster.Serving(r.service)
 	r.unserved = len(candidates) == 0
+	candidates, held := d.restrict(r, candidates)
+	if held {
+		r.lastReason = link.ReasonQuarantined
+		return balance.Choice{}, false
+	}
 	wanted := balance.Request{Route: r.route.Name, Awaited: r.Awaited}
 	choice, ok := t.mu.balance.Choose(now, wanted, candidates, r.excluded)
 	if !ok && r.lastReason == link.ReasonRefused && r.runs == 0 {
@@ -299,7 +315,10 @@
 	if reply.Outcome != link.OutcomeNotRun {
 		r.runs++
 	}
-	mayRetry := r.runs < r.route.MaxAttempts && ctx.Err() == nil
+	if reply.Reason == link.ReasonCrashed {
+		r.crashes++
+	}
+	mayRetry := r.runs-min(r.crashes, maxCrashRetries) < r.route.MaxAttempts && r.crashes <= maxCrashRetries && ctx.Err() == nil
 	switch reply.Outcome {
 	case link.OutcomeResponded:
 		if reply.Status < http.StatusInternalServerError || !r.route.Idempotent || !mayRetry ||
@@ -339,7 +358,9 @@
 		t.mu.balance.Cancelled(now, id, r.route.Name, now.Sub(r.sentAt))
 	case reply.Reason == link.ReasonUnreachable || reply.Reason == link.ReasonTargetChanged:
 		t.mu.balance.Lost(now, id, false)
-	case reply.Reason == link.ReasonBroken:
+	case reply.Reason == link.ReasonQuarantined:
+		t.mu.balance.Cancelled(now, id, r.route.Name, 0) // says nothing about the target
+	case reply.Reason == link.ReasonBroken || reply.Reason == link.ReasonCrashed:
 		t.mu.balance.Lost(now, id, true)
 	default:
 		t.mu.balance.Refused(now, id, reply.Arrived, load)
@@ -362,6 +383,8 @@
 		return d.end(r, nil, "caller-left")
 	case r.lastReply != nil:
 		return d.end(r, responseOf(r.lastReply), why)
+	case r.runs == 0 && r.placement.Status == quarantine.Quarantined:
+		return d.end(r, refusal(max(r.placement.Until.Sub(d.now()), time.Second)), why)
 	case r.runs == 0:
 		return d.end(r, refusal(d.retryAfter(r, d.now())), why)
 	case late:
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -76,11 +76,16 @@
 	ReasonRefused
 	// ReasonRateLimited means that the target's rate limit leaves no room for the call.
 	ReasonRateLimited
+	// ReasonCrashed means that the target crashed while the call was in flight there.
+	ReasonCrashed
+	// ReasonQuarantined means that the request is suspected to crash targets, and that the
+	// local target doesn't run it, or not now.
+	ReasonQuarantined
 )
 
 var reasonNames = [...]string{
 	"none", "target-changed", "draining", "busy", "too-late", "unreachable", "broken", "cancelled", "refused",
-	"rate-limited",
+	"rate-limited", "crashed", "quarantined",
 }
 
 // String returns the reason's name.
--- a/node/log.go
+++ b/node/log.go
@@ -77,6 +77,20 @@
 	Cancelled   bool                   `json:"cancelled,omitempty"`
 }
 
+// quarantineChanged logs that the status of a request has changed. from is the instance whose
+// report changed it, or how else it changed.
+func (l decisionLog) quarantineChanged(c *quarantine.Change, from string) {
+	since, until := "", ""
+	if c.Crashes > 0 {
+		since = c.Since.UTC().Format(time.RFC3339Nano)
+	}
+	if c.To == quarantine.Quarantined {
+		until = c.Until.UTC().Format(time.RFC3339Nano)
+	}
+	l.Info("request "+c.To.String(), "fingerprint", c.Fingerprint.String(), "before", c.From.String(),
+		"crashes", c.Crashes, "since", since, "until", until, "from", from)
+}
+
 // requestRefused logs a request that was refused at the entry, and why.
 func (l decisionLog) requestRefused(r *request, decision *loadshed.Decision, cost loadshed.CostStatus, retryAfter time.Duration) {
 	l.Info("request refused", "request", r.RequestID, "route", r.route.Name, "priority", r.priority, "cost", cost.String(),
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -27,6 +27,7 @@
 	retries        expvar.Int // sends after the request had reached a target
 	targetCalls    expvar.Map // calls for the local target, by outcome and reason
 	targetEnds     expvar.Map // ends of the local target's process, planned or by a crash
+	quarantine     expvar.Map // requests that became suspects, were quarantined or released, by new status
 	storeFailures  expvar.Map // failed calls to the store, by dependency
 	storeEpochs    expvar.Map // what responses of the store showed about its epoch, by finding
 	requestLatency histogram  // from the arrival of a request to its end
@@ -44,7 +45,7 @@
 
 func newMetrics() *metrics {
 	m := &metrics{gauges: map[string]func() int64{}}
-	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.storeFailures, &m.storeEpochs} {
+	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.storeFailures, &m.storeEpochs} {
 		variable.Init()
 	}
 	m.requestLatency.init()
@@ -81,6 +82,7 @@
 	variable("repeats", &m.retries)
 	variable("target_calls", &m.targetCalls)
 	variable("target_ends", &m.targetEnds)
+	variable("quarantine_changes", &m.quarantine)
 	variable("store_failures", &m.storeFailures)
 	variable("store_epochs", &m.storeEpochs)
 	variable("request_latency_us", &m.requestLatency)
--- a/node/node.go
+++ b/node/node.go
@@ -141,6 +141,7 @@
 
 	publish  chan struct{} // signals publishLoop that the record has changed
 	stopping atomic.Bool
+	clearing atomic.Bool // clearances are going to be published
 	pulling  atomic.Bool // set while the node waits to pull a newer configuration from a peer
 	// lastRecordRead is when the node last read the records because a service had no
 	// target, in Unix nanoseconds.
@@ -179,6 +180,7 @@
 	n.delivery = newDelivery(s, p.Dialect, n.now)
 	n.delivery.tables, n.delivery.metrics, n.delivery.log = n.tables, n.metrics, n.log
 	n.delivery.onTargetChanged = n.targetChanged
+	n.delivery.onCrash, n.delivery.onCleared = n.targetCrashed, n.requestsCleared
 	n.links = link.NewPool(n, n.now)
 	n.dispatcher = &dispatcher{
 		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log, metrics: n.metrics,
@@ -245,6 +247,8 @@
 		defer n.tables.mu.Unlock()
 		return int64(n.tables.mu.republish.Pending())
 	}
+	n.metrics.gauges["requests_suspect"] = func() int64 { suspects, _ := n.suspects(); return int64(suspects) }
+	n.metrics.gauges["requests_quarantined"] = func() int64 { _, quarantined := n.suspects(); return int64(quarantined) }
 	n.metrics.gauges["store_records_missing"] = func() int64 { return n.recordsMissing.Load() }
 	n.metrics.gauges["requests_in_flight"] = func() int64 { return int64(n.ingress.InFlight()) }
 	n.metrics.gauges["target_running"] = func() int64 { load, _, _ := n.delivery.load(); return int64(load.Running) }
@@ -284,6 +288,7 @@
 	go periodic.Every(background, targetCheckInterval, n.expireTarget)
 	go periodic.Every(background, idleCheckInterval, n.delivery.pool.CloseExpired)
 	go periodic.Every(background, pruneInterval, n.tables.retainTargets)
+	go periodic.Every(background, quarantinePruneInterval, n.pruneQuarantine)
 	select {
 	case <-ctx.Done():
 	case err := <-servers.failed:
--- a/node/peers.go
+++ b/node/peers.go
@@ -197,6 +197,9 @@
 // made. Other records of this instance don't enter the roster; observePublished handles
 // those of an earlier process.
 func (n *Node) updateRecord(r roster.Record, from string) (updated bool) {
+	if from != "own" {
+		n.mergeEvidence(r.Instance, r.Quarantine)
+	}
 	if from != "own" && r.Instance == n.settings.Name {
 		n.observePublished(&r)
 		return false
--- a/node/tables.go
+++ b/node/tables.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/quarantine"
 	"github.com/gypsumford/gypsumford/republish"
 	"github.com/gypsumford/gypsumford/retrybudget"
 	"github.com/gypsumford/gypsumford/roster"
@@ -34,6 +35,7 @@
 		origins      *callgraph.Origins
 		costs        *loadshed.Costs
 		republish    *republish.Table
+		quarantine   *quarantine.Table
 		routeOrigins map[string]callgraph.Origin // who sends the requests of each route, as replies reported
 		allKnown     bool                        // the records of all nodes were read since the start
 	}
@@ -57,6 +59,7 @@
 	t.mu.origins = callgraph.NewOrigins()
 	t.mu.costs = loadshed.NewCosts()
 	t.mu.republish = republish.NewTable(s.Name, rand.Uint64())
+	t.mu.quarantine = quarantine.NewTable()
 	t.mu.routeOrigins = map[string]callgraph.Origin{}
 	return t
 }
@@ -206,6 +209,13 @@
 	t.mu.allKnown = true
 }
 
+// areRecordsKnown reports whether the records of all nodes were read.
+func (t *tables) areRecordsKnown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.mu.allKnown
+}
+
 // slowStartEnded records the end of a request that was admitted before its route's cost
 // was known.
 func (t *tables) slowStartEnded(routeName string, served bool) {
--- a/node/target.go
+++ b/node/target.go
@@ -36,6 +36,7 @@
 func (n *Node) observePublished(r *roster.Record) {
 	isEarlier := r.Incarnation != n.Record().Incarnation
 	changed := n.succeed(r.Incarnation)
+	changed = n.adoptEvidence(r.Quarantine) || changed
 	if r.Target.ID != "" {
 		changed = n.delivery.observeEarlier(r.Target) || changed
 		changed = isEarlier && n.delivery.observePublished(r.Target) || changed
@@ -111,6 +112,7 @@
 // publishLoop writes the node's record to the store after each change, and retries
 // until that succeeds.
 func (n *Node) publishLoop(ctx context.Context) {
+	n.awaitEarlierRecord(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -132,6 +134,15 @@
 	}
 }
 
+// awaitEarlierRecord returns when the records of all nodes were read, among them the one of an
+// earlier process of this instance, or after firstPublicationDelay.
+func (n *Node) awaitEarlierRecord(ctx context.Context) {
+	const interval = 50 * time.Millisecond
+	for waited := time.Duration(0); waited < firstPublicationDelay && !n.tables.areRecordsKnown() && ctx.Err() == nil; waited += interval {
+		time.Sleep(interval)
+	}
+}
+
 func (n *Node) publishOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
--- /dev/null
+++ b/quarantine/placement.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// soleTargetDelay is how long after a crash a suspect isn't run at the only target of its
+// service that is up. The others are usually back by then; if they are gone for good, an innocent
+// request must not be held any longer.
+const soleTargetDelay = 10 * time.Second
+
+// Candidate is a target that could run a request.
+type Candidate struct {
+	Instance string
+	Version  string // of the target's software, "" if unknown
+}
+
+// Placement tells where a request may run.
+type Placement struct {
+	Status  Status
+	Crashes int // at which it was in flight and that aren't refuted
+	// Only is the index of the only candidate that may run the request, if the request is not
+	// Free; -1 if none may.
+	Only int
+	// Until is when a quarantine ends, zero if there is none.
+	Until time.Time
+}
+
+// Allows reports whether the instance may run the request.
+func (p *Placement) Allows(candidates []Candidate, instance string) bool {
+	return p.Status == Free || p.Only >= 0 && candidates[p.Only].Instance == instance
+}
+
+// IsApart reports whether the request must not run beside other suspects.
+func (p *Placement) IsApart() bool { return p.Crashes >= apartCrashes }
+
+// Place returns where a request for the service may run. known is the number of instances of
+// the service, those included whose targets are down. The candidates are those whose targets
+// accept requests.
+func (t *Table) Place(now time.Time, f Fingerprint, service string, known int, candidates []Candidate) Placement {
+	e := t.entries[f]
+	if e == nil {
+		return Placement{Only: -1}
+	}
+	p := Placement{Status: t.status(now, f), Only: -1}
+	if p.Status == Free {
+		return p
+	}
+	crashes, _, last := e.active()
+	p.Crashes, p.Until = crashes, e.until()
+	isSole := len(candidates) < 2 && known > len(candidates)
+	if isSole && now.Before(time.UnixMilli(last).Add(soleTargetDelay)) {
+		return p
+	}
+	p.Only = t.probationTarget(service, candidates, func(c *Candidate) bool {
+		return p.Status != Quarantined || c.Version != "" && !e.hasCrashed(service, c.Version)
+	})
+	return p
+}
+
+// probationTarget returns the candidate that runs suspects: the one that crashed last, as
+// it has the least to lose, or else one that all nodes choose alike.
+func (t *Table) probationTarget(service string, candidates []Candidate, allowed func(*Candidate) bool) int {
+	best := -1
+	var bestCrash int64
+	var bestRank uint64
+	for i := range candidates {
+		c := &candidates[i]
+		if !allowed(c) {
+			continue
+		}
+		crash, rank := t.lastCrash[c.Instance], rankOf(service, c.Instance)
+		if best < 0 || crash > bestCrash || crash == bestCrash && rank < bestRank {
+			best, bestCrash, bestRank = i, crash, rank
+		}
+	}
+	return best
+}
+
+func rankOf(service, instance string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(service)) // a hash returns no error
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(instance))
+	return h.Sum64()
+}
--- a/roster/own.go
+++ b/roster/own.go
@@ -154,3 +154,11 @@
 	l.expired = true
 	return true
 }
+
+// Ended makes a target absent whose process has ended, until its next heartbeat.
+func (l *LocalTarget) Ended(t Target) {
+	if l.target.sameIncarnation(&t) && l.target.State == Ready {
+		l.target.State = Absent
+		l.expired = true
+	}
+}
--- a/roster/record.go
+++ b/roster/record.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"time"
+
+	"github.com/gypsumford/gypsumford/quarantine"
+)
 
 // State is the state of a target, as the node beside it reports it.
 type State uint8
@@ -31,7 +35,8 @@
 	Born     int64  // start in Unix milliseconds; orders incarnations
 	Sequence uint64 // sequence number of the heartbeat
 	Service  string
-	Slots    int // requests that it runs at the same time
+	Version  string `json:",omitempty"` // of the target's software, "" if unknown
+	Slots    int    // requests that it runs at the same time
 	State    State
 	ColdLeft time.Duration // remaining time for which the target is slow after its start
 	// RateLimit is the number of requests per second that the target takes from all nodes
@@ -58,6 +63,9 @@
 	Domain      string // failure domain
 	Leaving     bool   // the node is stopping and accepts no new requests
 	Target      Target
+	// Quarantine is what the node, and earlier processes of the instance, have seen of requests
+	// that may crash targets.
+	Quarantine quarantine.Report `json:",omitzero"`
 }
 
 // Newer reports whether r replaces the other record of the same instance.
--- a/roster/table.go
+++ b/roster/table.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/gypsumford/gypsumford/quarantine"
 )
 
 // Table holds the latest record of each instance. It indexes the records by service,
@@ -10,11 +12,12 @@
 type Table struct {
 	records map[string]*Record
 	serving map[string][]*Record // by service; each list is sorted by instance and never modified
+	known   map[string]int       // number of instances by service, whatever the state of their targets
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[string]*Record{}, serving: map[string][]*Record{}}
+	return &Table{records: map[string]*Record{}, serving: map[string][]*Record{}, known: map[string]int{}}
 }
 
 // Update stores a record if it is newer than the stored one of its instance. It reports
@@ -29,6 +32,9 @@
 	}
 	if current != nil {
 		r.keepStatements(current)
+		if r.Incarnation != current.Incarnation { // the new process may not know it yet
+			r.Quarantine = quarantine.Join(current.Quarantine, r.Quarantine)
+		}
 	}
 	t.replace(current, &r)
 	return true
@@ -37,6 +43,8 @@
 // replace stores a record in place of the current one of its instance, if there is one.
 func (t *Table) replace(current, r *Record) {
 	t.records[r.Instance] = r
+	t.count(current, -1)
+	t.count(r, 1)
 	if current != nil && current.AcceptsRequests() {
 		t.removeServing(current)
 	}
@@ -45,6 +53,21 @@
 	}
 }
 
+// count adds to the number of instances of a record's service, unless its node or its target
+// leaves.
+func (t *Table) count(r *Record, change int) {
+	if r == nil || r.Leaving || r.Target.isLeaving() || r.Target.Service == "" {
+		return
+	}
+	if t.known[r.Target.Service] += change; t.known[r.Target.Service] == 0 {
+		delete(t.known, r.Target.Service)
+	}
+}
+
+// Known returns the number of instances whose targets are of the service and don't leave,
+// those included whose targets are down.
+func (t *Table) Known(service string) int { return t.known[service] }
+
 // keepStatements keeps what the target stated according to the record that r replaces, if
 // r's node may not have heard it: its process was started later.
 func (r *Record) keepStatements(replaced *Record) {
@@ -77,10 +100,10 @@
 }
 
 // StatedBeside returns the record of the node at the address, if its target states a rate
-// limit or that it leaves.
+// limit or that it leaves, or if the node has seen a crash.
 func (t *Table) StatedBeside(address string) (Record, bool) {
 	for _, r := range t.records {
-		if r.Address == address && (r.Target.RateLimit > 0 || r.Target.isLeaving()) {
+		if r.Address == address && (r.Target.RateLimit > 0 || r.Target.isLeaving() || !r.Quarantine.IsEmpty()) {
 			return *r, true
 		}
 	}
