node/egress: an earlier refusal is never taken for the response to a request

What callers saw: 'not run, try again' for requests that a target had run. Cause: a refusal without a request ID was accepted on a connection that had served other requests, and a request that was sent to the same target again got the connection on which it had been refused, so that a repeated refusal had its own ID. Change: a refusal without an ID counts on a new connection alone, and a request doesn't get a connection on which it was refused; after 64 refusals a connection is closed, which bounds the IDs that are stored.

--- a/node/egress/endless_test.go
+++ b/node/egress/endless_test.go
@@ -72,7 +72,7 @@
 			<-closed
 			So(sent.Load(), ShouldBeLessThan, c.maxSent)
 			So(s.bodyMemory.used.Load(), ShouldEqual, 0)
-			So(s.pool.popIdle(), ShouldBeNil)
+			So(s.pool.popIdle(""), ShouldBeNil)
 			var m runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&m)
--- a/node/egress/pool.go
+++ b/node/egress/pool.go
@@ -20,6 +20,9 @@
 	// idleMargin is subtracted from the idle timeout that a target states.
 	idleMargin  = 1 * time.Second
 	bufferBytes = 8 << 10
+	// maxRefusedIDs is the number of requests that the target may refuse on a connection until it
+	// is closed. It bounds the IDs that are stored.
+	maxRefusedIDs = 64
 )
 
 // Pool opens connections to one address and keeps idle ones for reuse.
@@ -40,15 +43,20 @@
 	reader  *bufio.Reader // reads from bounded
 	writer  *bufio.Writer
 	expiry  time.Time // not reused from then on
+	reused  bool      // it has served another request before
+	// refused are the IDs of the requests that the target has refused on the connection.
+	refused []string
 }
 
 // NewPool returns a pool without connections.
 func NewPool(address string, now func() time.Time) *Pool { return &Pool{address: address, now: now} }
 
-// get returns an idle connection that is still open, or a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get returns an idle connection that is still open, or a new one. A request that was refused
+// doesn't get the same connection again: the target may repeat the refusal there, and it can't be
+// told from the response.
+func (p *Pool) get(ctx context.Context, id string) (*conn, error) {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(id)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -77,16 +85,18 @@
 	return slices.ContainsFunc(p.mu.idle, func(c *conn) bool { return isReusable(c.socket) })
 }
 
-func (p *Pool) popIdle() *conn {
+// popIdle returns the connection that was used last among those on which the target hasn't
+// refused the request, or nil.
+func (p *Pool) popIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.mu.idle) - 1
-	if last < 0 {
-		return nil
+	for i := len(p.mu.idle) - 1; i >= 0; i-- {
+		if c := p.mu.idle[i]; !slices.Contains(c.refused, id) {
+			p.mu.idle = slices.Delete(p.mu.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.mu.idle[last]
-	p.mu.idle = p.mu.idle[:last]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
@@ -106,7 +116,7 @@
 
 // put returns a connection to the pool. idleTimeout is how long it may stay unused.
 func (p *Pool) put(c *conn, idleTimeout time.Duration) {
-	c.expiry = p.now().Add(idleTimeout)
+	c.expiry, c.reused = p.now().Add(idleTimeout), true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mu.idle = append(p.mu.idle, c)
@@ -144,6 +154,13 @@
 	}
 }
 
+// recordRefusal records that the target has refused a request on the connection. It reports
+// whether the connection may still be used.
+func (c *conn) recordRefusal(id string) bool {
+	c.refused = append(c.refused, id)
+	return len(c.refused) < maxRefusedIDs
+}
+
 // reset resets the TCP connection, so that a target that hasn't read the request yet finds an
 // error instead of the request.
 func (c *conn) reset() {
--- a/node/egress/send.go
+++ b/node/egress/send.go
@@ -65,7 +65,7 @@
 	if ctx.Err() != nil {
 		return nil, errors.Mark(ctx.Err(), ErrUnreachable) // the caller has disconnected
 	}
-	c, err := s.pool.get(ctx)
+	c, err := s.pool.get(ctx, r.ID)
 	if err != nil {
 		return nil, errors.Mark(err, ErrUnreachable)
 	}
@@ -74,6 +74,9 @@
 	if !stop() && err != nil {
 		return nil, errors.CombineErrors(ctx.Err(), err)
 	}
+	if response != nil && response.Fields.NotRun && !c.recordRefusal(r.ID) {
+		idleTimeout = 0
+	}
 	if err != nil || idleTimeout <= 0 {
 		c.close()
 	} else {
@@ -150,7 +153,7 @@
 			return response, idleTimeout, nil
 		}
 		if response.Fields.RequestID == "" {
-			return s.handleWithoutID(response)
+			return s.handleWithoutID(c, response)
 		}
 		if idleTimeout == 0 {
 			break
@@ -159,10 +162,11 @@
 	return nil, 0, errors.New("only responses to other requests received")
 }
 
-// handleWithoutID handles a response without a request ID. It accepts a refusal, but the
-// connection isn't reused; any other response is an error.
-func (s *Sender) handleWithoutID(response *Response) (*Response, time.Duration, error) {
-	if response.Fields.NotRun {
+// handleWithoutID handles a response without a request ID. It accepts a refusal on a connection
+// that has served no other request, but the connection isn't reused. Any other response is an
+// error: a faulty target may repeat the refusal of an earlier request.
+func (s *Sender) handleWithoutID(c *conn, response *Response) (*Response, time.Duration, error) {
+	if response.Fields.NotRun && !c.reused {
 		return response, 0, nil
 	}
 	return nil, 0, errors.Newf("response with status %d has no request ID", response.Status)
--- a/node/egress/send_test.go
+++ b/node/egress/send_test.go
@@ -173,6 +173,6 @@
 		response, err := s.Send(ctx, &Request{ID: "1", Method: "POST", URI: "/", Host: "h", Body: []byte(strings.Repeat("x", 16<<20))})
 		So(err, ShouldBeNil)
 		So(string(response.Body), ShouldEqual, "early")
-		So(s.pool.popIdle(), ShouldBeNil)
+		So(s.pool.popIdle(""), ShouldBeNil)
 	})
 }
