platform: one odd entry among the store's objects hides no other

What operators saw elsewhere: machines that read the list stopped following it. Here a node that started beside one object nested 20,000 deep never became ready, as one json.Unmarshal decoded the whole page. An odd one is skipped and logged once; a page goes on by the highest name that can be read.

--- a/cmd/gypsumd/sidecar.go
+++ b/cmd/gypsumd/sidecar.go
@@ -63,6 +63,9 @@
 	defer logWriter.Close()
 	log := logr.FromSlogHandler(slog.NewJSONHandler(logWriter, nil))
 	client := platform.NewClient(settings.StoreAddress)
+	client.OnInvalid(func(kind, name string, err error) {
+		log.Info("input ignored", "input", "object of the store", "kind", kind, "name", name, "why", err.Error())
+	})
 	n := node.New(&settings.Node, node.Platform{
 		Dialect:        platform.Dialect{},
 		Configurations: &platform.Configurations{Client: client},
