--- a/quarantine/placement.go
+++ b/quarantine/placement.go
@@ -28,12 +28,12 @@
 }
 
 // Allows reports whether the instance may run the request.
-func (p *Placement) Allows(candidates []Candidate, instance string) bool {
+func (p Placement) Allows(candidates []Candidate, instance string) bool {
 	return p.Status == Free || p.Only >= 0 && candidates[p.Only].Instance == instance
 }
 
 // IsApart reports whether the request must not run beside other suspects.
-func (p *Placement) IsApart() bool { return p.Crashes >= apartCrashes }
+func (p Placement) IsApart() bool { return p.Crashes >= apartCrashes }
 
 // Place returns where a request for the service may run. known is the number of instances of
 // the service, those included whose targets are down. The candidates are those whose targets
