--- a/node/store/follower.go
+++ b/node/store/follower.go
@@ -106,6 +106,9 @@
 		read = f.Source.Read
 		if err == nil {
 			lastRead = revision.Epoch
+			if f.isOutdated(lastRead) {
+				err = errors.Wrapf(ErrRestored, "a state of epoch %s was read", lastRead)
+			}
 		}
 		for err == nil && ctx.Err() == nil {
 			if failing {
--- a/node/store/follower_test.go
+++ b/node/store/follower_test.go
@@ -289,3 +289,30 @@
 		So(source.reads, ShouldEqual, 2)
 	})
 }
+
+// A follower that was told of one epoch, while each of its reads states another, read without a
+// pause.
+func TestReadsPauseWhileTheEpochDisagrees(t *testing.T) {
+	source := &scriptedSource{
+		read: func(int) ([]Change[int], epoch.Revision, error) {
+			return nil, epoch.Revision{Epoch: 7, Number: 1}, nil
+		},
+		wait: func(ctx context.Context, _ epoch.Revision) ([]Change[int], epoch.Revision, error) {
+			<-ctx.Done()
+			return nil, epoch.Revision{}, ctx.Err()
+		},
+	}
+	f := NewFollower[int](source)
+	f.OnState, f.OnChange = func([]Change[int], epoch.ID) {}, func([]Change[int]) {}
+	f.OnFailure, f.OnRecovery = func(error) {}, func() {}
+	f.MaxBackoff = func() time.Duration { return time.Second }
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	f.Restored(8)
+	f.Run(ctx)
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	if source.reads > 20 {
+		t.Errorf("%d reads in 2 s", source.reads)
+	}
+}
