node: the quarantine is listed and lifted at the metrics address

GET /quarantine lists suspects and requests in quarantine with their evidence, POST /quarantine/FINGERPRINT/release refutes the evidence at all nodes.

--- a/node/log.go
+++ b/node/log.go
@@ -91,6 +91,11 @@
 		"crashes", c.Crashes, "since", since, "until", until, "from", from)
 }
 
+// quarantineReleased logs that an operator has released a request.
+func (l decisionLog) quarantineReleased(f quarantine.Fingerprint, crashes int, by string) {
+	l.Info("request released by an operator", "fingerprint", f.String(), "crashes", crashes, "by", by)
+}
+
 // requestRefused logs a request that was refused at the entry, and why.
 func (l decisionLog) requestRefused(r *request, decision *loadshed.Decision, cost loadshed.CostStatus, retryAfter time.Duration) {
 	l.Info("request refused", "request", r.RequestID, "route", r.route.Name, "priority", r.priority, "cost", cost.String(),
--- a/node/node.go
+++ b/node/node.go
@@ -335,7 +335,7 @@
 		n.settings.HeartbeatAddress: n.platform.Heartbeats(n),
 	}
 	if n.settings.MetricsAddress != "" {
-		control[n.settings.MetricsAddress] = n.metrics
+		control[n.settings.MetricsAddress] = n.operatorHandler()
 	}
 	for address, handler := range control {
 		server, err := serve(address, handler)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -48,6 +50,19 @@
 	return "invalid"
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (s Status) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Status) UnmarshalText(text []byte) error {
+	i := slices.Index(statusNames[:], string(text))
+	if i < 0 {
+		return errors.Newf("status of a request: unknown %.40q", text)
+	}
+	*s = Status(i)
+	return nil
+}
+
 // crashID identifies a crash.
 type crashID struct {
 	instance string
@@ -359,21 +374,22 @@
 
 // Listed is the state of one request, for operators.
 type Listed struct {
-	Fingerprint Fingerprint
-	Status      Status
-	Crashes     int       // that aren't refuted
-	Since, Last time.Time // the first and the last of them
-	Until       time.Time // end of the quarantine, zero for a suspect
-	Evidence    []Evidence
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Status      Status      `json:"status"`
+	Crashes     int         `json:"crashes"` // that aren't refuted
+	Since       time.Time   `json:"since"`   // the first of them
+	Last        time.Time   `json:"last"`
+	Until       time.Time   `json:"until,omitzero"` // end of the quarantine
+	Evidence    []Evidence  `json:"evidence"`
 }
 
 // Evidence is one crash at which a request was in flight, for operators.
 type Evidence struct {
-	Instance string
-	Service  string
-	Version  string
-	At       time.Time
-	Refuted  bool
+	Instance string    `json:"instance"` // beside the target that crashed
+	Service  string    `json:"service"`
+	Version  string    `json:"version,omitempty"` // of the target's software
+	At       time.Time `json:"at"`
+	Refuted  bool      `json:"refuted,omitempty"` // by a run that completed, or by an operator
 }
 
 // List returns the suspects and the requests in quarantine, those with the most crashes first.
