--- a/command/verbs/verbs.go
+++ b/command/verbs/verbs.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumford/gypsumford/command/diff"
 	"github.com/gypsumford/gypsumford/command/drain"
 	"github.com/gypsumford/gypsumford/command/get"
+	"github.com/gypsumford/gypsumford/command/quarantine"
 	"github.com/gypsumford/gypsumford/command/status"
 	"github.com/gypsumford/gypsumford/command/timeline"
 	"github.com/gypsumford/gypsumford/command/version"
@@ -22,6 +23,7 @@
 		diff.Verb,
 		status.Verb,
 		drain.Verb,
+		quarantine.Verb,
 		timeline.Verb,
 		version.Verb,
 	}
