agent/link: no call gets a connection on which the target has refused one

What callers saw elsewhere: 'not run' for calls that a target had run. A target's refusal in the project's own interface names no call, so one that a faulty target writes again on a kept connection was taken for the next call's. Calls to the target have a transport of their own now, whose idle connections are closed after a refusal.

--- a/agent/link/link.go
+++ b/agent/link/link.go
@@ -51,13 +51,15 @@
 
 // Link sends calls. It is safe for concurrent use.
 type Link struct {
-	transport http.RoundTripper
+	transport http.RoundTripper // to peers
+	targets   *http.Transport   // to the local target
 	now       func() time.Time
 }
 
-// New returns a link over the transport.
+// New returns a link over the transport, which is used for peers. Calls to the local target
+// have a transport of their own.
 func New(transport http.RoundTripper, now func() time.Time) *Link {
-	return &Link{transport: transport, now: now}
+	return &Link{transport: transport, targets: NewTransport(), now: now}
 }
 
 // DeliverPath is the prefix of the paths of calls to the node of the chosen target.
@@ -75,7 +77,7 @@
 	callhttp.WriteEnvelope(header, l.now(), &callhttp.Envelope{
 		Call: r.Call, Instance: to.ID, Lamport: lamport,
 	})
-	response, sent, err := l.send(ctx, r.Method, &target, header, r.Body)
+	response, sent, err := send(ctx, l.transport, r.Method, &target, header, r.Body)
 	if err != nil {
 		return failedReply(sent, r.Call.Grant, to.ID)
 	}
@@ -99,21 +101,24 @@
 	for name, values := range fields {
 		header[name] = values
 	}
-	response, sent, err := l.send(ctx, r.Method, &target, header, r.Body)
+	response, sent, err := send(ctx, l.targets, r.Method, &target, header, r.Body)
 	if err != nil {
 		return failedReply(sent, r.Call.Grant, "")
 	}
 	if response.Header.Get(callhttp.HeaderOutcome) == call.NotRun.String() {
 		retryAfter := callhttp.ReadRetryAfter(response.Header)
 		closeBody(response.Body)
+		// A faulty target may repeat the refusal, and nothing in it tells which call it is for.
+		// So no later call gets this connection.
+		l.targets.CloseIdleConnections()
 		return exchange.Refuse(call.ReasonShed, retryAfter, r.Call.Grant)
 	}
 	return completedReply(response)
 }
 
-// send sends a request once. It reports whether the request may have been written to
-// a connection.
-func (l *Link) send(ctx context.Context, method string, target *url.URL, header http.Header, body []byte) (*http.Response, bool, error) {
+// send sends a request once over the transport. It reports whether the request may have been
+// written to a connection.
+func send(ctx context.Context, transport http.RoundTripper, method string, target *url.URL, header http.Header, body []byte) (*http.Response, bool, error) {
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
@@ -126,7 +131,7 @@
 	request.Header = header
 	request.Body = io.NopCloser(bytes.NewReader(body)) // GetBody stays nil, see the package comment
 	request.ContentLength = int64(len(body))
-	response, err := l.transport.RoundTrip(request)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return nil, connected, errors.Wrapf(err, "request to %s", target.Host)
 	}
--- a/agent/link/link_test.go
+++ b/agent/link/link_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-func send(s *scriptedServer, l *Link, id call.RequestID) *exchange.Reply {
+func sendToPeer(s *scriptedServer, l *Link, id call.RequestID) *exchange.Reply {
 	to := fleet.Instance{ID: "node-1", PeerAddress: s.address}
 	return l.Peer(context.Background(), to, DeliverPath, newRequest(id), 1)
 }
@@ -99,7 +99,7 @@
 				return number == 1 // the second request is read and gets no response
 			})
 			l := New(NewTransport(), time.Now)
-			first := send(server, l, "r1")
+			first := sendToPeer(server, l, "r1")
 			_, err := readAll(first)
 			So(err, ShouldBeNil)
 			request := newRequest("r2")
@@ -119,7 +119,7 @@
 		So(err, ShouldBeNil)
 		address := listener.Addr().String()
 		listener.Close()
-		reply := send(&scriptedServer{address: address}, l, "r1")
+		reply := sendToPeer(&scriptedServer{address: address}, l, "r1")
 		So(reply.Outcome, ShouldEqual, call.NotRun)
 		So(reply.ConnectFailed, ShouldBeTrue)
 		So(reply.Unspent, ShouldEqual, 2)
@@ -129,7 +129,7 @@
 			writeResponse(w, "somebody-else", "their order", 11)
 			return true
 		})
-		reply := send(s, l, "r1")
+		reply := sendToPeer(s, l, "r1")
 		So(reply.Outcome, ShouldEqual, call.Unknown)
 		body, _ := readAll(reply)
 		So(body, ShouldBeEmpty)
@@ -139,7 +139,7 @@
 			writeResponse(w, r.Header.Get(callhttp.HeaderRequestID), "half", 8)
 			return false
 		})
-		_, err := readAll(send(s, l, "r1"))
+		_, err := readAll(sendToPeer(s, l, "r1"))
 		So(err, ShouldNotBeNil)
 	})
 	Convey("A reply without a valid outcome is unknown", t, func() {
@@ -148,7 +148,7 @@
 				callhttp.HeaderRequestID, r.Header.Get(callhttp.HeaderRequestID))
 			return true
 		})
-		So(send(s, l, "r1").Outcome, ShouldEqual, call.Unknown)
+		So(sendToPeer(s, l, "r1").Outcome, ShouldEqual, call.Unknown)
 	})
 	Convey("The unspent attempts that a peer reports are limited to the grant", t, func() {
 		header := http.Header{}
