agent: calls that crash targets are held back by all nodes

The project's own interface had the same cause as the platform's path: a call lost in a crash went on to the next target and was forgotten. The decisions of package quarantine are used here, too; the caller's account is part of the fingerprint. Nodes gossip what they have seen at /quarantine of the peer address, compare it every 5 s, and ask two others when they start.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -63,6 +63,7 @@
 	target         *target
 	parents        *parentTable
 	delivery       *delivery
+	quarantines    *quarantines
 	dispatcher     *dispatcher
 	entry          *entry
 	members        *members
@@ -179,10 +180,13 @@
 	calls := link.New(link.NewTransport(), a.now)
 	levels := &levelTable{levels: admission.NewLevels()}
 	attempts := newAttemptTable()
+	a.quarantines = newQuarantines(a)
 	a.delivery = newDelivery(a, calls)
+	a.delivery.quarantines = a.quarantines
 	a.dispatcher = &dispatcher{
 		self: a.self.ID, now: a.now, config: a.config, routes: a.routes, levels: levels,
-		attempts: attempts, link: calls, local: a.delivery, ring: a.ring, metrics: a.metrics,
+		quarantines: a.quarantines,
+		attempts:    attempts, link: calls, local: a.delivery, ring: a.ring, metrics: a.metrics,
 		unreachable: a.members.unreachable,
 	}
 	a.entry = &entry{
@@ -195,6 +199,8 @@
 func (a *Agent) addGauges() {
 	a.metrics.Gauge("members", func() int64 { return int64(a.members.len()) })
 	a.metrics.Gauge("config_version", func() int64 { return int64(a.config.version()) })
+	a.metrics.Gauge("calls_suspect", func() int64 { suspects, _ := a.quarantines.count(); return int64(suspects) })
+	a.metrics.Gauge("calls_quarantined", func() int64 { _, quarantined := a.quarantines.count(); return int64(quarantined) })
 	a.metrics.Gauge("calls_in_flight", a.inFlight.Load)
 	a.metrics.Gauge("target_running", func() int64 { return int64(a.delivery.stats().Running) })
 	a.metrics.Gauge("target_queued", func() int64 { return int64(a.delivery.stats().Queued) })
@@ -329,6 +335,7 @@
 	go func() {
 		a.seeds.join(ctx)
 		a.seeds.refresh(ctx)
+		a.quarantines.learn(ctx)
 		a.joined.Store(true)
 		// A restored store may have listed no other node: the others write their seed objects
 		// again soon.
@@ -337,6 +344,7 @@
 			return a.peers()
 		})
 	}()
+	go periodic.Every(ctx, quarantineInterval, func() { a.quarantines.tick(ctx) })
 	go periodic.Every(ctx, seedInterval, func() {
 		if a.joined.Load() {
 			a.seeds.refresh(ctx)
--- a/agent/bus/bus.go
+++ b/agent/bus/bus.go
@@ -23,11 +23,12 @@
 	TopicTarget     Topic = "target"     // the local target's state changed
 	TopicLimit      Topic = "limit"      // the local target's concurrency limit or level changed
 	TopicPlatform   Topic = "platform"   // the platform became unavailable or available again
+	TopicQuarantine Topic = "quarantine" // a call became suspect of crashing targets, was quarantined or cleared
 )
 
 // Topics returns all topics.
 func Topics() []Topic {
-	return []Topic{TopicConfig, TopicMembership, TopicTarget, TopicLimit, TopicPlatform}
+	return []Topic{TopicConfig, TopicMembership, TopicTarget, TopicLimit, TopicPlatform, TopicQuarantine}
 }
 
 // bufferedAnnouncements is the number of announcements buffered per subscriber.
--- a/agent/delivery.go
+++ b/agent/delivery.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumford/gypsumford/agent/metrics"
 	"github.com/gypsumford/gypsumford/call"
 	"github.com/gypsumford/gypsumford/callhttp"
+	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/timeline"
 )
 
@@ -31,6 +32,7 @@
 	// operation and caller of the parent call.
 	childLevels *levelTable
 	pacer       pacer
+	quarantines *quarantines
 
 	mu struct {
 		sync.Mutex
@@ -152,11 +154,25 @@
 // run hands the call to the target and returns its reply. The call holds its slot
 // until the response body has been read to its end or closed.
 func (d *delivery) run(ctx context.Context, r *exchange.Request, address string, ticket admission.TicketID) *exchange.Reply {
+	targetRun, endRun, refusal := d.quarantines.begin(r)
+	if refusal != nil {
+		d.finish(ticket, admission.Abandoned)
+		d.ring.recordCall(timeline.Refused, &r.Call, d.className(&r.Call), refusal.Reason.String())
+		d.metrics.Delivered.Add(refusal.Reason.String(), 1)
+		return d.withQueueState(refusal, r.Call.Caller)
+	}
 	parent := d.parents.add(r.Call)
 	defer d.parents.remove(parent)
 	d.metrics.Attempts.Add(1)
 	d.ring.recordCall(timeline.Started, &r.Call, d.className(&r.Call), "")
 	reply := d.link.Target(ctx, address, r, d.targetFields(&r.Call, parent.token))
+	checkCrash := func() {
+		_, _, state := d.target.get()
+		d.quarantines.lost(targetRun, r.Call.Service, address, state == fleet.Draining)
+	}
+	if reply.NoResponse && ctx.Err() == nil {
+		checkCrash()
+	}
 	if reply.ConnectFailed {
 		d.target.lost()
 		reply = exchange.Refuse(call.ReasonDraining, 0, r.Call.Grant) // the call may go to another target
@@ -170,9 +186,18 @@
 	d.metrics.Delivered.Add(reply.Outcome.String(), 1)
 	if reply.Outcome == call.Completed {
 		d.ring.recordCall(timeline.Completed, &r.Call, d.className(&r.Call), strconv.Itoa(reply.Status))
-		finish := func() { d.finish(ticket, admission.Completed) }
+		finish := func() {
+			endRun()
+			d.finish(ticket, admission.Completed)
+		}
+		d.quarantines.watchBody(reply, targetRun, func() {
+			if ctx.Err() == nil {
+				checkCrash()
+			}
+		})
 		reply.Body = notifyOnEnd(reply.Body, finish)
 	} else {
+		endRun()
 		d.finish(ticket, resultOf(ctx, reply))
 	}
 	return d.withQueueState(reply, r.Call.Caller)
--- a/agent/dispatcher.go
+++ b/agent/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,8 @@
 	local    *delivery
 	ring     *ringTable
 	metrics  *metrics.Set
+	// quarantines tells which calls are suspected to crash targets.
+	quarantines *quarantines
 	// unreachable is called for an instance to which no connection could be made.
 	unreachable func(fleet.InstanceID)
 }
@@ -120,7 +123,7 @@
 	}
 	switch reply.Reason {
 	case call.ReasonDeadline, call.ReasonAttempts, call.ReasonCancelled,
-		call.ReasonUnknownOperation:
+		call.ReasonUnknownOperation, call.ReasonQuarantined:
 		return false // another target would refuse it too
 	}
 	if reply.ConnectFailed || reply.Draining {
@@ -215,7 +218,12 @@
 	if grant == 0 {
 		return exchange.Refuse(call.ReasonAttempts, 0, 0)
 	}
-	chosen, ok := d.choose(t, t.excluded)
+	restricted, refusal := d.quarantines.exclude(t.request, grant)
+	if refusal != nil {
+		t.allowance.Return(grant)
+		return refusal
+	}
+	chosen, ok := d.choose(t, slices.Concat(t.excluded, restricted))
 	if !ok {
 		t.allowance.Return(grant)
 		return exchange.Refuse(call.ReasonNoTarget, noTargetRetryAfter, grant)
--- a/agent/metrics/metrics.go
+++ b/agent/metrics/metrics.go
@@ -15,22 +15,24 @@
 // Set holds the counters and gauges of one agent. Every counter starts at 0 when the
 // process starts and never decreases.
 type Set struct {
-	Entered    *expvar.Map // calls received from callers and from the local target, by class
-	Outcomes   *expvar.Map // replies to received calls, by "class/outcome"
-	Refusals   *expvar.Map // refusals of received calls, by "class/reason"
-	Delivered  *expvar.Map // calls for the local target, by outcome or reason of refusal
-	Attempts   *expvar.Int // calls handed to the local target
-	Retries    *expvar.Map // retries, by reason
-	Hedges     *expvar.Int // second tries sent in parallel to a slow first one
-	BadInput   *expvar.Map // refused input, by source
-	Platform   *expvar.Map // calls to the platform, by kind and result
-	Epochs     *expvar.Map // what calls showed about the epoch of the platform's store, by finding
-	Packets    *expvar.Map // membership packets and bytes, by direction
-	Config     *expvar.Map // configurations received, by result
-	Membership *expvar.Map // changes of members, by new state
-	gauges     []gauge
-	names      []string
-	byName     map[string]expvar.Var
+	Entered   *expvar.Map // calls received from callers and from the local target, by class
+	Outcomes  *expvar.Map // replies to received calls, by "class/outcome"
+	Refusals  *expvar.Map // refusals of received calls, by "class/reason"
+	Delivered *expvar.Map // calls for the local target, by outcome or reason of refusal
+	Attempts  *expvar.Int // calls handed to the local target
+	// TargetCrashes counts the crashes of the local target while calls were in flight there.
+	TargetCrashes *expvar.Int
+	Retries       *expvar.Map // retries, by reason
+	Hedges        *expvar.Int // second tries sent in parallel to a slow first one
+	BadInput      *expvar.Map // refused input, by source
+	Platform      *expvar.Map // calls to the platform, by kind and result
+	Epochs        *expvar.Map // what calls showed about the epoch of the platform's store, by finding
+	Packets       *expvar.Map // membership packets and bytes, by direction
+	Config        *expvar.Map // configurations received, by result
+	Membership    *expvar.Map // changes of members, by new state
+	gauges        []gauge
+	names         []string
+	byName        map[string]expvar.Var
 }
 
 type gauge struct {
@@ -46,6 +48,7 @@
 	s.Refusals = s.newMap("calls_refused")
 	s.Delivered = s.newMap("calls_delivered")
 	s.Attempts = s.newInt("target_attempts")
+	s.TargetCrashes = s.newInt("target_crashes")
 	s.Retries = s.newMap("calls_retried")
 	s.Hedges = s.newInt("calls_hedged")
 	s.BadInput = s.newMap("bad_input")
--- a/agent/server.go
+++ b/agent/server.go
@@ -48,6 +48,8 @@
 	r.Mount(peer.PeerPathPrefix, limitBody(peer.NewPeerServer(&peerServer{agent: a})))
 	r.Get("/healthz", handleAlive)
 	r.Get("/readyz", a.handleReady)
+	r.Get(quarantinePath, a.quarantines.ServeHTTP)
+	r.Post(quarantinePath, a.quarantines.ServeHTTP)
 	r.Handle("/debug/vars", a.metrics.Handler())
 	return r
 }
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -56,6 +56,8 @@
 	ReasonShed
 	// ReasonStarting: the node has no configuration yet.
 	ReasonStarting
+	// ReasonQuarantined: calls like this one have crashed targets.
+	ReasonQuarantined
 
 	reasonCount
 )
@@ -65,7 +67,7 @@
 	ReasonDraining: "draining", ReasonNoTarget: "no-target",
 	ReasonAttempts:  "attempts",
 	ReasonCancelled: "cancelled", ReasonUnknownOperation: "unknown-operation",
-	ReasonShed: "shed", ReasonStarting: "starting",
+	ReasonShed: "shed", ReasonStarting: "starting", ReasonQuarantined: "quarantined",
 }
 
 // Reasons returns all reasons for which a call can be refused, without NoReason.
