--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -19,8 +19,9 @@
 // hasn't crashed, and when an operator lifts it; then the request is on probation again, and one
 // crash renews the quarantine.
 //
-// Requests whose bytes differ each time have different fingerprints. Each of them can end one
-// target, but no second one, as a run that was lost in a crash is retried on probation at most.
+// Requests whose bytes differ each time have different fingerprints, so none of them is recognised.
+// What limits their harm is that a run that was lost in a crash is repeated once at most, on
+// probation: each ends one target, or two if it is idempotent, and never the last one that is up.
 //
 // The types do no I/O and read no clock. They are not safe for concurrent use.
 package quarantine
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -42,6 +42,7 @@
 	next      uint64
 
 	deadly, hot   Fingerprint
+	differing     map[Fingerprint]bool // requests that crash targets, each with bytes of its own
 	deadlyStarts  int
 	deadlyCrashes int
 	thirdCrash    time.Time
@@ -49,6 +50,7 @@
 	served, lost  int
 	falseHolds    map[Fingerprint]int
 	allDown       time.Duration
+	downSince     map[string]time.Time // by node
 }
 
 type simMessage struct {
@@ -71,7 +73,7 @@
 func newSimulation(seed uint64, targets int) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 28)), now: time.UnixMilli(1_700_000_000_000), published: map[string]Report{},
-		deadly: fingerprint("deadly"), hot: fingerprint("hot"), falseHolds: map[Fingerprint]int{},
+		deadly: fingerprint("deadly"), hot: fingerprint("hot"), falseHolds: map[Fingerprint]int{}, differing: map[Fingerprint]bool{}, downSince: map[string]time.Time{},
 	}
 	for i := range targets {
 		s.nodes = append(s.nodes, &simNode{
@@ -136,7 +138,7 @@
 		s.lost++
 		return
 	}
-	r := &simRun{fingerprint: f, deadly: f == s.deadly, onProbation: fence.Status != Free, retried: isRetry, entry: entry}
+	r := &simRun{fingerprint: f, deadly: f == s.deadly || s.differing[f], onProbation: fence.Status != Free, retried: isRetry, entry: entry}
 	r.ends = s.now.Add(time.Duration(50+s.random.IntN(250)) * time.Millisecond)
 	target.runs = append(target.runs, r)
 	if r.deadly {
@@ -251,7 +253,7 @@
 
 // play runs the simulation. The rates are requests a second.
 func (s *simulation) play(length time.Duration, deadlyRate, hotRate, otherRate float64, crashEvery, killEvery time.Duration) {
-	downSince := map[string]time.Time{}
+	downSince := s.downSince
 	happens := func(every time.Duration) bool {
 		return every > 0 && s.random.Float64() < simStep.Seconds()/every.Seconds()
 	}
@@ -287,6 +289,29 @@
 	}
 }
 
+// Requests that crash targets and differ in their bytes each time can't be recognised. Each
+// must end no more targets than its first run and one repetition.
+func TestHarmOfDeadlyRequestsThatDiffer(t *testing.T) {
+	const seeds, targets = 40, 8
+	sent, crashes := 0, 0
+	var down time.Duration
+	for seed := range uint64(seeds) {
+		s := newSimulation(seed, targets)
+		for range 20 {
+			f := fingerprint(fmt.Sprint("differing ", len(s.differing)))
+			s.differing[f] = true
+			s.start(s.nodes[s.random.IntN(targets)], f, false)
+			s.play(1500*time.Millisecond, 0, 60, 30, 0, 0)
+			sent++
+		}
+		crashes, down = crashes+s.deadlyCrashes, down+s.allDown
+	}
+	t.Logf("%d requests ended %d targets; all %d targets down for %v in %d seeds of 30 s", sent, crashes, targets, down, seeds)
+	if crashes > 2*sent {
+		t.Errorf("%d requests ended %d targets", sent, crashes)
+	}
+}
+
 // Innocent requests were held that are in flight at many crashes: a hot key, and rare ones that
 // are retried from crash to crash.
 func TestInnocentRequestsAreNotHeld(t *testing.T) {
