quarantine: few trials at targets of other versions

Found by reading: a request in quarantine ran once at each version of the targets and each service that it hadn't crashed, at once. Such a trial waits 15 s after the last crash, twice as long after each further one.

--- a/quarantine/placement.go
+++ b/quarantine/placement.go
@@ -10,6 +10,11 @@
 // request must not be held any longer.
 const soleTargetDelay = 10 * time.Second
 
+// versionTrialDelay is how long after its last crash a request in quarantine may run at a target
+// of another service or version. It doubles with each further crash, so that a request that is
+// rerouted, or whose targets are replaced, again and again, crashes few of them.
+const versionTrialDelay = 15 * time.Second
+
 // Candidate is a target that could run a request.
 type Candidate struct {
 	Instance string
@@ -53,8 +58,9 @@
 	if isSole && now.Before(time.UnixMilli(last).Add(soleTargetDelay)) {
 		return p
 	}
+	trialAt := time.UnixMilli(last).Add(versionTrialDelay << max(crashes-quarantineCrashes, 0))
 	p.Only = t.probationTarget(service, candidates, func(c *Candidate) bool {
-		return p.Status != Quarantined || c.Version != "" && !e.hasCrashed(service, c.Version)
+		return p.Status != Quarantined || c.Version != "" && !now.Before(trialAt) && !e.hasCrashed(service, c.Version)
 	})
 	return p
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -89,10 +89,14 @@
 		})
 		Convey("except at targets of a version that it hasn't crashed", func() {
 			mixed := append(candidatesOf("v1", "a", "b"), candidatesOf("v2", "c")...)
+			So(table.Place(after(10*time.Second), bad, "s", 3, mixed).Only, ShouldEqual, -1)
 			p := table.Place(after(time.Minute), bad, "s", 3, mixed)
 			So(p.Allows(mixed, "c"), ShouldBeTrue)
 			So(p.Allows(mixed, "a"), ShouldBeFalse)
 			table.Merge(after(time.Minute), "c", crashed(9, after(time.Minute), "v2", "bad"))
+			third := candidatesOf("v3", "a", "b")
+			So(table.Place(after(80*time.Second), bad, "s", 3, third).Only, ShouldEqual, -1)
+			So(table.Place(after(2*time.Minute), bad, "s", 3, third).Only, ShouldBeGreaterThanOrEqualTo, 0)
 			p = table.Place(after(time.Minute), bad, "s", 3, mixed)
 			So(p.Only, ShouldEqual, -1)
 		})
@@ -249,3 +253,24 @@
 		table.Place(start, bad, "s", 4, candidates)
 	}
 }
+
+// A request in quarantine ended one target of each service and version in turn, as its route was
+// changed and targets were replaced.
+func TestTrialsAtOtherVersionsAreFew(t *testing.T) {
+	table, bad := NewTable(), fingerprint("bad")
+	for i := range int64(3) {
+		table.Merge(start, "a", crashed(i, start, "v0", "bad"))
+	}
+	trials := 0
+	for second := range 90 {
+		now, version := after(time.Duration(second)*time.Second), fmt.Sprint("v", 1+second)
+		candidates := candidatesOf(version, "a", "b", "c")
+		if table.Place(now, bad, "s", 3, candidates).Only >= 0 {
+			trials++
+			table.Merge(now, "b", crashed(int64(100+second), now, version, "bad"))
+		}
+	}
+	if trials > 3 {
+		t.Errorf("%d trials in 90 s", trials)
+	}
+}
