limiter: a changed rate limit frees no requests

Cause: a lower rate cut the level of the token bucket to its smaller burst, and a higher one afterwards left it there, so the difference started at once. The requests that may start are kept now when the rate changes.

--- a/limiter/rate.go
+++ b/limiter/rate.go
@@ -48,6 +48,7 @@
 func (r *rateLimit) set(now time.Time, rate float64) {
 	r.update(now)
 	wasLimited := r.limited()
+	free := max(r.burst()-r.total(), 0) // requests that may start at once
 	r.rate = rate
 	switch {
 	case !r.limited():
@@ -55,7 +56,8 @@
 	case !wasLimited:
 		r.level[loadshed.Priorities-1] = r.burst()
 	default:
-		r.scaleTo(min(r.total(), r.burst()))
+		// A changed rate frees no requests: a lower one and then a higher one would.
+		r.scaleTo(max(r.burst()-free, 0))
 	}
 }
 
@@ -80,6 +82,7 @@
 func (r *rateLimit) scaleTo(total float64) {
 	sum := r.total()
 	if sum <= 0 {
+		r.level[loadshed.Priorities-1] = total
 		return
 	}
 	for p := range r.level {
--- a/limiter/rate_test.go
+++ b/limiter/rate_test.go
@@ -106,6 +106,27 @@
 	})
 }
 
+// A rate limit that was lowered and raised again let a whole burst start once more.
+func TestChangedRateFreesNoRequests(t *testing.T) {
+	s := newRateSimulation(79, 8)
+	s.RunUntil(start.Add(5 * time.Second)) // the bucket is empty, a burst may start
+	for range 40 {
+		s.arrive(0)
+	}
+	before := len(s.starts)
+	for range 5 {
+		s.limiter.SetRateLimit(s.Now(), 0.8)
+		s.limiter.SetRateLimit(s.Now(), 8)
+		for range 40 {
+			s.arrive(0)
+		}
+		s.wake()
+	}
+	if len(s.starts) > before {
+		t.Errorf("%d requests started at once, %d more after the rate had changed", before, len(s.starts)-before)
+	}
+}
+
 func TestRateLimit(t *testing.T) {
 	flood := func(s *rateSimulation, seconds, perS int, priority func(i int) int) {
 		for i := range seconds * perS {
