--- a/limiter/rate_test.go
+++ b/limiter/rate_test.go
@@ -109,7 +109,7 @@
 // A rate limit that was lowered and raised again let a whole burst start once more.
 func TestChangedRateFreesNoRequests(t *testing.T) {
 	s := newRateSimulation(79, 8)
-	s.After(5*time.Second, func() {}) // a burst may start then
+	s.After(4*time.Second, func() {}) // a burst may start then
 	s.RunUntil(start.Add(5 * time.Second))
 	for range 40 {
 		s.arrive(0)
