--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -13,11 +13,12 @@
 //
 // A suspect runs on probation: at one target of its service alone, while another one serves, so
 // that it can't end all of them. From two crashes on it runs there apart from other suspects, so
-// that an innocent request isn't in flight at the next crash. A request that was in flight at
-// quarantineCrashes crashes, and never completed since the first of them, is in quarantine: it is refused. The
-// quarantine ends after a time that doubles with each further crash, for a version of the target that the request
-// hasn't crashed, and when an operator lifts it; then the request is on probation again, and one
-// crash renews the quarantine.
+// that no innocent request is in flight at the next crash.
+//
+// A request that was in flight at three crashes, and never completed between them, is in
+// quarantine: it is refused. The quarantine ends after a time that doubles with each further
+// crash, for targets of a version that the request hasn't crashed, and when an operator lifts
+// it. The first two put the request on probation again, and one crash renews the quarantine.
 //
 // Requests whose bytes differ each time have different fingerprints, so none of them is recognised.
 // What limits their harm is that a run that was lost in a crash is repeated once at most, on
