node/egress: an ending target may close its connections one after the other

A process that ends closes its listener and its connections one by one; checked between the two, an idle connection was still open, and the crash wasn't recorded, so that the request ran once more. The check now waits for up to 100 ms while connections are refused. That this is what happened in that run is read from the code, not traced: its log wasn't kept.

--- a/node/egress/pool.go
+++ b/node/egress/pool.go
@@ -20,6 +20,10 @@
 	// idleMargin is subtracted from the idle timeout that a target states.
 	idleMargin  = 1 * time.Second
 	bufferBytes = 8 << 10
+	// maxEndTime is how long an ending process may take to close its connections after its
+	// listener.
+	maxEndTime      = 100 * time.Millisecond
+	endPollInterval = 5 * time.Millisecond
 	// maxRefusedIDs is the number of requests that the target may refuse on a connection until it
 	// is closed. It bounds the IDs that are stored.
 	maxRefusedIDs = 64
@@ -76,7 +80,17 @@
 		c.close()
 		return false
 	}
-	return errors.Is(err, syscall.ECONNREFUSED) && !p.hasOpenIdle()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	// An ending process doesn't close all its connections at the same moment.
+	for waited := time.Duration(0); p.hasOpenIdle(); waited += endPollInterval {
+		if waited >= maxEndTime || ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(endPollInterval)
+	}
+	return true
 }
 
 func (p *Pool) hasOpenIdle() bool {
