roster: a late heartbeat doesn't make a target ready whose process has ended

Found by reading: a heartbeat that a target sent before its end arrives after it and makes the ended incarnation ready. A request may then reach the restarted process under the old incarnation, and a crash of that counts as the same one. One heartbeat of an incarnation whose process has ended is ignored; a second one proves that it lives. TestLateHeartbeatOfATargetThatEnded failed before.

--- a/roster/own.go
+++ b/roster/own.go
@@ -13,6 +13,7 @@
 	lastHeartbeat time.Time
 	drainStart    time.Time // when the target began to drain or deregistered; zero if it did neither
 	expired       bool      // heartbeats have stopped
+	ended         bool      // the process of the current incarnation was seen to have ended
 	// deregistered holds, by ID, when targets other than the current one deregistered. A
 	// restarted node may receive a target's deregistration first and an earlier heartbeat
 	// of that target seconds later.
@@ -55,6 +56,11 @@
 	}
 	previous := l.target
 	sameIncarnation := previous.sameIncarnation(&t)
+	if sameIncarnation && l.ended {
+		l.ended = false // a second one proves that the process lives
+		l.target.Sequence = t.Sequence
+		return false
+	}
 	if sameIncarnation {
 		t.RateLimit, t.Leaving = previous.RateLimit, previous.Leaving
 	}
@@ -65,7 +71,7 @@
 		t.State = Draining
 	}
 	wasExpired := l.expired
-	l.target, l.lastHeartbeat, l.expired = t, now, false
+	l.target, l.lastHeartbeat, l.expired, l.ended = t, now, false, false
 	if !sameIncarnation {
 		l.drainStart, l.responded, l.rateReadAt = time.Time{}, false, time.Time{}
 		l.applyEarlier()
@@ -155,10 +161,11 @@
 	return true
 }
 
-// Ended makes a target absent whose process has ended, until its next heartbeat.
+// Ended makes a target absent whose process has ended. One heartbeat of the same incarnation may
+// still be on its way and changes nothing.
 func (l *LocalTarget) Ended(t Target) {
 	if l.target.sameIncarnation(&t) && l.target.State == Ready {
 		l.target.State = Absent
-		l.expired = true
+		l.expired, l.ended = true, true
 	}
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -76,6 +76,38 @@
 	})
 }
 
+// A heartbeat that a target had sent before its process ended made it ready again.
+func TestLateHeartbeatOfATargetThatEnded(t *testing.T) {
+	state := func(local *LocalTarget) State {
+		target, _ := local.Target()
+		return target.State
+	}
+	Convey("A target whose process has ended is absent", t, func() {
+		local := NewLocalTarget(interval)
+		local.Heartbeat(start, ready("a", 100, 1))
+		local.Ended(ready("a", 100, 1))
+		So(state(local), ShouldEqual, Absent)
+		Convey("also after one late heartbeat", func() {
+			So(local.Heartbeat(start.Add(time.Second), ready("a", 100, 2)), ShouldBeFalse)
+			So(state(local), ShouldEqual, Absent)
+			Convey("but not after two, as it lives", func() {
+				So(local.Heartbeat(start.Add(2*time.Second), ready("a", 100, 2)), ShouldBeFalse)
+				So(local.Heartbeat(start.Add(2*time.Second), ready("a", 100, 3)), ShouldBeTrue)
+				So(state(local), ShouldEqual, Ready)
+			})
+		})
+		Convey("until it starts again", func() {
+			So(local.Heartbeat(start.Add(time.Second), ready("a", 200, 1)), ShouldBeTrue)
+			So(state(local), ShouldEqual, Ready)
+		})
+		Convey("The end of an earlier incarnation changes nothing", func() {
+			local.Heartbeat(start.Add(time.Second), ready("a", 200, 1))
+			local.Ended(ready("a", 100, 1))
+			So(state(local), ShouldEqual, Ready)
+		})
+	})
+}
+
 func TestLateHeartbeatOfDeregisteredTarget(t *testing.T) {
 	started := start.Add(-time.Minute).UnixMilli()
 	Convey("A restarted node receives its target's deregistration first, and then an earlier heartbeat", t, func() {
