--- /dev/null
+++ b/review/stand/leaving.go
@@ -0,0 +1,149 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gypsumford/gypsumford/platform/platformtest"
+)
+
+func init() { cases["leaving"] = leaving }
+
+const (
+	lateBy   = 5 * time.Second // heartbeats of one backend arrive that much later
+	copyAge  = 4 * time.Second // of the copy from which the store comes back, at the moment when it goes away
+	awayFor  = 2 * time.Second
+	killedAt = 300 * time.Millisecond // after the store has gone away
+)
+
+// leaving lets a backend state in its answers that it leaves. Then the store is away and comes
+// back from a copy, and the node beside the backend is killed meanwhile.
+func leaving(f *fleet, trouble bool) ([]string, error) {
+	f.configure(1, []string{"orderdesk", "plotfinder"}, route{"order", "/order/", "unsafe", "orderdesk", 4, 2})
+	var backends []*backend
+	for i, service := range []string{"orderdesk", "orderdesk", "plotfinder"} {
+		n, err := f.add("m"+strconv.Itoa(i), service, "")
+		if err != nil {
+			return nil, err
+		}
+		b, err := n.startBackend("i-"+strconv.Itoa(i), 8, 100*time.Millisecond)
+		if err != nil {
+			return nil, err
+		}
+		backends = append(backends, b)
+		if err := n.start(); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.awaitReady(15 * time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(4 * time.Second) // the machines are in touch
+	leaver, beside, entry := backends[0], f.nodes[0], f.nodes[2]
+	// From here on the heartbeats of the leaver are late.
+	leaver.stopBeats()
+	var mu sync.Mutex
+	state := "ready"
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			mu.Lock()
+			content, now := leaver.content(state), state
+			mu.Unlock()
+			time.AfterFunc(lateBy, func() {
+				f.rec.add("backend %s: heartbeat %q of %v ago arrives: %v", leaver.id, now, lateBy, leaver.call(http.MethodPut, content))
+			})
+			select {
+			case <-done:
+				return
+			case <-time.After(heartbeat):
+			}
+		}
+	}()
+	type sent struct {
+		id string
+		at time.Time
+	}
+	var requests []sent
+	var passedOn time.Time // when the entry first passed on an answer that states the leaving
+	var senders sync.WaitGroup
+	end := time.Now().Add(24 * time.Second)
+	for i := range 16 {
+		senders.Go(func() {
+			c := client{address: entry.outbound}
+			defer c.close()
+			for k := 0; time.Now().Before(end); k++ {
+				id := fmt.Sprintf("r%d-%d", i, k)
+				at := time.Now()
+				f.rec.add("client: %s sent to %s", id, entry.name)
+				a := c.send(http.MethodPost, "/order/"+id, id, 4*time.Second, []byte("order"))
+				f.rec.add("client: %s %v leaving %q", id, a, a.leaving)
+				mu.Lock()
+				requests = append(requests, sent{id, at})
+				if a.leaving != "" && passedOn.IsZero() {
+					passedOn = time.Now()
+				}
+				mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(6 * time.Second)
+	copied := f.store.Copy()
+	time.Sleep(copyAge / 2)
+	f.rec.add("backend %s: is about to leave and states so in its answers", leaver.id)
+	mu.Lock()
+	state = "draining"
+	mu.Unlock()
+	leaver.stateLeaving()
+	time.Sleep(copyAge / 2)
+	if trouble {
+		f.awayAndBack(copied, func() {
+			time.Sleep(killedAt)
+			beside.signal(syscall.SIGKILL)
+		})
+		time.Sleep(300 * time.Millisecond)
+		if err := beside.writeSettings(false); err != nil {
+			return nil, err
+		}
+		if err := beside.start(); err != nil {
+			return nil, err
+		}
+	}
+	senders.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	if passedOn.IsZero() {
+		return nil, fmt.Errorf("no answer of %s that states its leaving was passed on", leaver.id)
+	}
+	var violations []string
+	for _, r := range requests {
+		if leaver.ran(r.id) > 0 && r.at.Sub(passedOn) > drainS*time.Second {
+			violations = append(violations, fmt.Sprintf("DRAIN: %s, sent %.3f s after %s had passed on an answer in which %s states that it leaves, reached it; allowed %d s",
+				r.id, r.at.Sub(passedOn).Seconds(), entry.name, leaver.id, drainS))
+		}
+	}
+	return violations, nil
+}
+
+// awayAndBack takes the store away and brings it back from the copy. The operator writes its
+// configuration again.
+func (f *fleet) awayAndBack(copied *platformtest.Copy, meanwhile func()) {
+	content, _ := f.store.Spec("config", "main")
+	f.rec.add("store: away")
+	f.store.SetDown(true)
+	started := time.Now()
+	meanwhile()
+	time.Sleep(awayFor - time.Since(started))
+	f.store.Restore(copied)
+	f.store.SetDown(false)
+	f.store.Put("config", "main", content)
+	f.rec.add("store: back from a copy")
+}
