--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/stand leaving review/3
+exec target/review/stand deadly review/3
--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -26,6 +26,7 @@
 	id       string
 	born     int64
 	slots    int
+	version  string // of its software
 	work     func(r *http.Request) time.Duration
 	leaving  bool // its answers state that it leaves
 	listener net.Listener
@@ -41,7 +42,7 @@
 }
 
 func (n *node) startBackend(id string, slots int, work time.Duration) (*backend, error) {
-	b := &backend{node: n, id: id, born: time.Now().UnixMilli(), slots: slots, runs: map[string]int{}, began: map[string]time.Time{}, ended: map[string]time.Time{}}
+	b := &backend{node: n, id: id, born: time.Now().UnixMilli(), slots: slots, version: n.version, runs: map[string]int{}, began: map[string]time.Time{}, ended: map[string]time.Time{}}
 	b.work = func(*http.Request) time.Duration { return work }
 	var err error
 	if b.listener, err = net.Listen("tcp", n.app); err != nil {
@@ -154,7 +155,7 @@
 	sequence := b.sequence
 	b.mu.Unlock()
 	content, err := render("heartbeat.json.tmpl", map[string]any{
-		"Address": b.node.app, "Born": b.born, "Service": b.node.service, "Slots": b.slots, "State": state, "Sequence": sequence,
+		"Address": b.node.app, "Born": b.born, "Service": b.node.service, "Slots": b.slots, "State": state, "Sequence": sequence, "SoftwareVersion": b.version,
 	})
 	if err != nil {
 		b.node.fleet.rec.add("heartbeat of %s: %v", b.id, err)
--- a/review/stand/deadly.go
+++ b/review/stand/deadly.go
@@ -47,7 +47,7 @@
 			return nil, err
 		}
 		if trouble && service == "plotfinder" {
-			b.crashBy(&seen)
+			b.crashBy(&seen, crashAfter)
 		}
 		if err := n.start(); err != nil {
 			return nil, err
@@ -114,8 +114,9 @@
 		deadlyPath, late, contactS, maxRetries, len(c.at))}
 }
 
-// crashBy makes the backend crash some time after it begins to run the deadly request.
-func (b *backend) crashBy(seen *crashes) {
+// crashBy makes the backend, and those that replace it, crash some time after it begins to run
+// the deadly request.
+func (b *backend) crashBy(seen *crashes, after time.Duration) {
 	usual := b.work
 	b.work = func(r *http.Request) time.Duration {
 		if r.URL.Path != deadlyPath {
@@ -124,14 +125,14 @@
 		seen.mu.Lock()
 		seen.arrivals = append(seen.arrivals, time.Now())
 		seen.mu.Unlock()
-		time.Sleep(crashAfter) // its work doesn't notice that the connection is closed
-		b.crash(seen)
+		time.Sleep(after) // its work doesn't notice that the connection is closed
+		b.crash(seen, after)
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // crash ends the backend as a crash of its process does, and starts it again later.
-func (b *backend) crash(seen *crashes) {
+func (b *backend) crash(seen *crashes, after time.Duration) {
 	b.mu.Lock()
 	down := !b.beating
 	b.beating = false
@@ -139,7 +140,7 @@
 	if down {
 		return
 	}
-	b.node.fleet.rec.add("backend %s: crashes", b.id)
+	b.node.fleet.rec.add("backend %s (%s): crashes", b.id, b.version)
 	_ = b.server.Close()
 	seen.mu.Lock()
 	seen.at = append(seen.at, time.Now())
@@ -152,7 +153,7 @@
 			b.node.fleet.rec.add("backend %s: %v", b.id, err)
 			return
 		}
-		again.crashBy(seen)
+		again.crashBy(seen, after)
 		b.node.fleet.rec.add("backend %s: started", again.id)
 	})
 }
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -54,6 +54,7 @@
 type node struct {
 	fleet                            *fleet
 	name, service                    string
+	version                          string // of the software of its backend
 	outbound, control, ready         string
 	inbound, app, metrics, storeAddr string
 	settings                         string
@@ -87,7 +88,7 @@
 		return nil, err
 	}
 	n := &node{
-		fleet: f, name: name, service: service, outbound: a[0], control: a[1], ready: a[2], inbound: a[3], app: a[4], metrics: a[5],
+		fleet: f, name: name, service: service, version: "v1", outbound: a[0], control: a[1], ready: a[2], inbound: a[3], app: a[4], metrics: a[5],
 		storeAddr: store, settings: filepath.Join(f.dir, name+".json"),
 	}
 	if store == "" {
--- a/review/stand/leaving.go
+++ b/review/stand/leaving.go
@@ -9,21 +9,18 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/gypsumford/gypsumford/platform/platformtest"
 )
 
 func init() { cases["leaving"] = leaving }
 
 const (
-	lateBy   = 5 * time.Second // heartbeats of one backend arrive that much later
-	copyAge  = 4 * time.Second // of the copy from which the store comes back, at the moment when it goes away
-	awayFor  = 2 * time.Second
-	killedAt = 300 * time.Millisecond // after the store has gone away
+	lateBy   = 5500 * time.Millisecond // heartbeats of one backend arrive that much later
+	awayFor  = 4500 * time.Millisecond // the store
+	downTime = 2 * time.Second         // the process beside that backend
 )
 
-// leaving lets a backend state in its answers that it leaves. Then the store is away and comes
-// back from a copy, and the node beside the backend is killed meanwhile.
+// leaving lets a backend state in its answers that it leaves, while the store is down. The
+// process beside the backend is killed meanwhile, and starts again when the store is back.
 func leaving(f *fleet, trouble bool) ([]string, error) {
 	if err := f.configure(1, []string{"orderdesk", "plotfinder"}, route{"order", "/order/", "unsafe", "orderdesk", 4, 2}); err != nil {
 		return nil, err
@@ -97,21 +94,25 @@
 			}
 		})
 	}
-	time.Sleep(6 * time.Second)
-	copied := f.store.Copy()
-	time.Sleep(copyAge / 2)
+	time.Sleep(7500 * time.Millisecond)
+	if trouble {
+		f.rec.add("store: down")
+		f.store.SetDown(true)
+		time.AfterFunc(awayFor, func() {
+			f.store.SetDown(false)
+			f.rec.add("store: back")
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
 	f.rec.add("backend %s: is about to leave and states so in its answers", leaver.id)
 	mu.Lock()
 	state = "draining"
 	mu.Unlock()
 	leaver.stateLeaving()
-	time.Sleep(copyAge / 2)
+	time.Sleep(2300 * time.Millisecond)
 	if trouble {
-		f.awayAndBack(copied, func() {
-			time.Sleep(killedAt)
-			beside.signal(syscall.SIGKILL)
-		})
-		time.Sleep(300 * time.Millisecond)
+		beside.signal(syscall.SIGKILL)
+		time.Sleep(downTime)
 		if err := beside.writeSettings(false); err != nil {
 			return nil, err
 		}
@@ -134,18 +135,3 @@
 	}
 	return violations, nil
 }
-
-// awayAndBack takes the store away and brings it back from the copy. The operator writes its
-// configuration again.
-func (f *fleet) awayAndBack(copied *platformtest.Copy, meanwhile func()) {
-	content, _ := f.store.Spec("config", "main")
-	f.rec.add("store: away")
-	f.store.SetDown(true)
-	started := time.Now()
-	meanwhile()
-	time.Sleep(awayFor - time.Since(started))
-	f.store.Restore(copied)
-	f.store.SetDown(false)
-	f.store.Put("config", "main", content)
-	f.rec.add("store: back from a copy")
-}
--- /dev/null
+++ b/review/stand/versions.go
@@ -0,0 +1,55 @@
+//go:build review
+
+package main
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+func init() { cases["versions"] = versions }
+
+// versions sends one request again and again that crashes the backends of one version, while
+// one backend of the service has another version already.
+func versions(f *fleet, trouble bool) ([]string, error) {
+	err := f.configure(1, []string{"plotfinder", "archiv"}, route{"lookup", "/lookup/", "safe", "plotfinder", 4, 2})
+	if err != nil {
+		return nil, err
+	}
+	var seen crashes
+	for i, machine := range []struct{ service, version string }{
+		{"plotfinder", "v1"}, {"plotfinder", "v1"}, {"plotfinder", "v2"}, {"archiv", "v1"},
+	} {
+		n, err := f.add("m"+strconv.Itoa(i), machine.service, "")
+		if err != nil {
+			return nil, err
+		}
+		n.version = machine.version
+		b, err := n.startBackend("i-"+strconv.Itoa(i)+".1", 79, 20*time.Millisecond)
+		if err != nil {
+			return nil, err
+		}
+		if trouble && machine.service == "plotfinder" && machine.version == "v1" {
+			b.crashBy(&seen, 10*time.Millisecond)
+		}
+		if err := n.start(); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.awaitReady(15 * time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(4 * time.Second) // the machines are in touch
+	end := time.Now().Add(60 * time.Second)
+	for k := 0; time.Now().Before(end); k++ {
+		n := f.nodes[k%len(f.nodes)]
+		c := client{address: n.outbound}
+		id := "deadly-" + strconv.Itoa(k)
+		f.rec.add("client: %s sent to %s, %s", id, n.name, deadlyPath)
+		f.rec.add("client: %s %v", id, c.send(http.MethodGet, deadlyPath, id, 4*time.Second, nil))
+		c.close()
+		time.Sleep(time.Second)
+	}
+	return seen.check(f), nil
+}
