--- a/review/stand/deadly.go
+++ b/review/stand/deadly.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,9 +17,13 @@
 
 const (
 	deadlyPath  = "/lookup/deadly"
-	giveUpAfter = 250 * time.Millisecond // the client leaves before its deadline
-	crashAfter  = 500 * time.Millisecond // the backend crashes, well before the deadline of the request
-	downFor     = 2 * time.Second        // until the backend is back
+	deadlyShare = 0.03                    // of the requests of its class, as on the users' day
+	deadlyFor   = 20 * time.Second        // as on the users' day
+	leavingFor  = 5500 * time.Millisecond // for how long clients leave, each time
+	giveUpAfter = 250 * time.Millisecond  // the client leaves before its deadline
+	crashAfter  = 500 * time.Millisecond  // the backend crashes, well before the deadline of the request
+	downFor     = 2 * time.Second         // until the backend is back
+	lookupWork  = 2 * time.Millisecond
 	contactS    = 3 * time.Second
 	maxRetries  = 3 // of the rule
 )
@@ -42,7 +47,7 @@
 		if err != nil {
 			return nil, err
 		}
-		b, err := n.startBackend("i-"+strconv.Itoa(i)+".1", 79, 20*time.Millisecond)
+		b, err := n.startBackend("i-"+strconv.Itoa(i)+".1", 79, lookupWork)
 		if err != nil {
 			return nil, err
 		}
@@ -57,49 +62,88 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second) // the machines are in touch
-	end := time.Now().Add(60 * time.Second)
+	others := f.sendLookups(16, 430*time.Millisecond)
+	time.Sleep(time.Second)
+	sent := 0
+	for range 2 { // the request comes twice
+		f.rec.add("the deadly request comes for %v", deadlyFor)
+		started := time.Now()
+		for _, from := range []time.Duration{0, 7 * time.Second, 14 * time.Second} { // clients leave three times
+			time.Sleep(time.Until(started.Add(from)))
+			f.rec.add("clients begin to leave early, for %v", leavingFor)
+			for time.Since(started) < min(from+leavingFor, deadlyFor) {
+				f.sendAndLeave(f.nodes[sent%len(f.nodes)], "deadly-"+strconv.Itoa(sent))
+				sent++
+				time.Sleep(time.Second - giveUpAfter)
+			}
+		}
+		time.Sleep(time.Until(started.Add(deadlyFor + time.Second)))
+	}
+	return seen.check(f, sent, others())
+}
+
+// sendLookups starts clients that send a lookup after each pause. The function that it returns
+// ends them and returns how many lookups they sent.
+func (f *fleet) sendLookups(count int, pause time.Duration) (stop func() int) {
 	var clients sync.WaitGroup
-	for i := range 9 {
+	var sent atomic.Int64
+	done := make(chan struct{})
+	for i := range count {
 		clients.Go(func() {
-			c := client{address: f.nodes[i%len(f.nodes)].outbound}
+			n := f.nodes[i%len(f.nodes)]
+			c := client{address: n.outbound}
 			defer c.close()
-			for k := 0; time.Now().Before(end); k++ {
+			time.Sleep(time.Duration(i) * pause / time.Duration(count))
+			for k := 0; ; k++ {
+				select {
+				case <-done:
+					return
+				case <-time.After(pause):
+				}
 				id := fmt.Sprintf("c%d-%d", i, k)
-				f.rec.add("client %d: %s sent to %s", i, id, f.nodes[i%len(f.nodes)].name)
+				f.rec.add("client %d: %s sent to %s", i, id, n.name)
+				sent.Add(1)
 				f.rec.add("client %d: %s %v", i, id, c.send(http.MethodGet, "/lookup/"+id, id, 4*time.Second, nil))
-				time.Sleep(time.Second)
 			}
 		})
 	}
-	for k := 0; time.Now().Before(end); k++ { // one client in ten leaves early
-		n := f.nodes[k%len(f.nodes)]
-		c := client{address: n.outbound}
-		id := "deadly-" + strconv.Itoa(k)
-		f.rec.add("client 9: %s sent to %s, %s", id, n.name, deadlyPath)
-		if socket, err := net.Dial("tcp", n.outbound); err == nil {
-			c.socket = socket
-			fmt.Fprintf(socket, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 4000\r\n\r\n", deadlyPath, host, names.RequestID, id, names.Deadline)
-			_ = socket.SetReadDeadline(time.Now().Add(giveUpAfter))
-			answer := make([]byte, 100)
-			got, _ := socket.Read(answer)
-			status, _, _ := strings.Cut(string(answer[:got]), "\r\n")
-			f.rec.add("client 9: %s got %q and closes its connection", id, status)
-			c.close()
-		}
-		time.Sleep(1500*time.Millisecond - giveUpAfter)
+	return func() int {
+		close(done)
+		clients.Wait()
+		return int(sent.Load())
 	}
-	clients.Wait()
-	return seen.check(f), nil
 }
 
-// check counts how often the request reached backends later than contactS after it had
-// crashed the third.
-func (c *crashes) check(f *fleet) []string {
+// sendAndLeave sends the deadly request and closes the connection before its deadline.
+func (f *fleet) sendAndLeave(n *node, id string) {
+	f.rec.add("client: %s sent to %s, %s", id, n.name, deadlyPath)
+	socket, err := net.Dial("tcp", n.outbound)
+	if err != nil {
+		f.rec.add("client: %s %v", id, err)
+		return
+	}
+	defer socket.Close()
+	fmt.Fprintf(socket, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 4000\r\n\r\n", deadlyPath, host, names.RequestID, id, names.Deadline)
+	_ = socket.SetReadDeadline(time.Now().Add(giveUpAfter))
+	answer := make([]byte, 100)
+	got, _ := socket.Read(answer)
+	status, _, _ := strings.Cut(string(answer[:got]), "\r\n")
+	f.rec.add("client: %s got %q and closes its connection", id, status)
+}
+
+// check counts how often the request reached backends later than contactS after it had crashed
+// the third. sent and others are the numbers of copies and of other requests of its class.
+func (c *crashes) check(f *fleet, sent, others int) ([]string, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f.rec.add("the request reached backends %d times and crashed %d", len(c.arrivals), len(c.at))
+	share := float64(sent) / float64(sent+others)
+	f.rec.add("%d copies of the request were sent and %d others, a share of %.4f; it reached backends that it crashes %d times and crashed %d",
+		sent, others, share, len(c.arrivals), len(c.at))
+	if share > deadlyShare {
+		return nil, fmt.Errorf("the share of the deadly request is %.4f, more than %v", share, deadlyShare)
+	}
 	if len(c.at) < 3 {
-		return nil
+		return nil, nil
 	}
 	late := 0
 	for _, at := range c.arrivals {
@@ -108,10 +152,10 @@
 		}
 	}
 	if late <= maxRetries {
-		return nil
+		return nil, nil
 	}
 	return []string{fmt.Sprintf("BUDGET: %s reached backends %d times later than %v after it had crashed the third, %d allowed; it crashed %d",
-		deadlyPath, late, contactS, maxRetries, len(c.at))}
+		deadlyPath, late, contactS, maxRetries, len(c.at))}, nil
 }
 
 // crashBy makes the backend, and those that replace it, crash some time after it begins to run
@@ -148,7 +192,7 @@
 	time.AfterFunc(downFor, func() {
 		name, start, _ := strings.Cut(b.id, ".")
 		number, _ := strconv.Atoi(start)
-		again, err := b.node.startBackend(name+"."+strconv.Itoa(number+1), b.slots, 20*time.Millisecond)
+		again, err := b.node.startBackend(name+"."+strconv.Itoa(number+1), b.slots, lookupWork)
 		if err != nil {
 			b.node.fleet.rec.add("backend %s: %v", b.id, err)
 			return
--- a/review/stand/gone.go
+++ b/review/stand/gone.go
@@ -54,7 +54,9 @@
 	var left []withdrawn
 	var mu sync.Mutex
 	var clients sync.WaitGroup
-	end := time.Now().Add(30 * time.Second)
+	end := time.Now().Add(12 * time.Second)
+	leaveUntil := time.Now().Add(2*time.Second + leavingFor) // clients leave from 2 s on
+	leaveFrom := time.Now().Add(2 * time.Second)
 	for i := range 10 {
 		leaves := trouble && i < 3
 		clients.Go(func() {
@@ -62,7 +64,7 @@
 				id := fmt.Sprintf("s%d-%d", i, k)
 				c := client{address: f.nodes[2].outbound}
 				f.rec.add("client %d: %s sent to m2, %d bytes", i, id, len(body))
-				if leaves {
+				if now := time.Now(); leaves && now.After(leaveFrom) && now.Add(leaveAfter).Before(leaveUntil) {
 					time.AfterFunc(leaveAfter, func() {
 						if c.cut() {
 							f.rec.add("client %d: %s closes its connection", i, id)
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -26,7 +26,7 @@
 			return nil, err
 		}
 		n.version = machine.version
-		b, err := n.startBackend("i-"+strconv.Itoa(i)+".1", 79, 20*time.Millisecond)
+		b, err := n.startBackend("i-"+strconv.Itoa(i)+".1", 79, lookupWork)
 		if err != nil {
 			return nil, err
 		}
@@ -41,15 +41,21 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second) // the machines are in touch
-	end := time.Now().Add(60 * time.Second)
-	for k := 0; time.Now().Before(end); k++ {
-		n := f.nodes[k%len(f.nodes)]
-		c := client{address: n.outbound}
-		id := "deadly-" + strconv.Itoa(k)
-		f.rec.add("client: %s sent to %s, %s", id, n.name, deadlyPath)
-		f.rec.add("client: %s %v", id, c.send(http.MethodGet, deadlyPath, id, 4*time.Second, nil))
-		c.close()
+	others := f.sendLookups(14, 333*time.Millisecond)
+	time.Sleep(time.Second)
+	sent := 0
+	for _, length := range []time.Duration{deadlyFor, deadlyFor} { // it comes twice
+		f.rec.add("the deadly request comes for %v", length)
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Second) {
+			n := f.nodes[sent%len(f.nodes)]
+			c := client{address: n.outbound}
+			id := "deadly-" + strconv.Itoa(sent)
+			sent++
+			f.rec.add("client: %s sent to %s, %s", id, n.name, deadlyPath)
+			f.rec.add("client: %s %v", id, c.send(http.MethodGet, deadlyPath, id, 4*time.Second, nil))
+			c.close()
+		}
 		time.Sleep(time.Second)
 	}
-	return seen.check(f), nil
+	return seen.check(f, sent, others())
 }
