--- a/review/stand/deadly.go
+++ b/review/stand/deadly.go
@@ -62,29 +62,26 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second) // the machines are in touch
-	others := f.sendLookups(16, 430*time.Millisecond)
+	others := f.sendLookups(40, time.Second, 0)
 	time.Sleep(time.Second)
 	sent := 0
-	for range 2 { // the request comes twice
-		f.rec.add("the deadly request comes for %v", deadlyFor)
-		started := time.Now()
-		for _, from := range []time.Duration{0, 7 * time.Second, 14 * time.Second} { // clients leave three times
-			time.Sleep(time.Until(started.Add(from)))
-			f.rec.add("clients begin to leave early, for %v", leavingFor)
-			for time.Since(started) < min(from+leavingFor, deadlyFor) {
-				f.sendAndLeave(f.nodes[sent%len(f.nodes)], "deadly-"+strconv.Itoa(sent))
-				sent++
-				time.Sleep(time.Second - giveUpAfter)
-			}
+	f.rec.add("the deadly request comes for %v", deadlyFor)
+	started := time.Now()
+	for _, from := range []time.Duration{0, 7 * time.Second, 14 * time.Second} { // clients leave three times
+		time.Sleep(time.Until(started.Add(from)))
+		f.rec.add("clients begin to leave early, for %v", leavingFor)
+		for time.Since(started) < min(from+leavingFor, deadlyFor) {
+			f.sendAndLeave(f.nodes[sent%len(f.nodes)], "deadly-"+strconv.Itoa(sent))
+			sent++
+			time.Sleep(time.Second - giveUpAfter)
 		}
-		time.Sleep(time.Until(started.Add(deadlyFor + time.Second)))
 	}
 	return seen.check(f, sent, others())
 }
 
-// sendLookups starts clients that send a lookup after each pause. The function that it returns
-// ends them and returns how many lookups they sent.
-func (f *fleet) sendLookups(count int, pause time.Duration) (stop func() int) {
+// sendLookups starts clients, one after each stagger, that send a lookup after each pause. The
+// function that it returns ends them and returns how many lookups they sent.
+func (f *fleet) sendLookups(count int, pause, stagger time.Duration) (stop func() int) {
 	var clients sync.WaitGroup
 	var sent atomic.Int64
 	done := make(chan struct{})
@@ -93,7 +90,7 @@
 			n := f.nodes[i%len(f.nodes)]
 			c := client{address: n.outbound}
 			defer c.close()
-			time.Sleep(time.Duration(i) * pause / time.Duration(count))
+			time.Sleep(time.Duration(i) * stagger)
 			for k := 0; ; k++ {
 				select {
 				case <-done:
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -19,7 +19,7 @@
 	}
 	var seen crashes
 	for i, machine := range []struct{ service, version string }{
-		{"plotfinder", "v1"}, {"plotfinder", "v1"}, {"plotfinder", "v2"}, {"archiv", "v1"},
+		{"plotfinder", "v1"}, {"plotfinder", "v1"}, {"plotfinder", "v1"}, {"plotfinder", "v2"}, {"plotfinder", "v2"}, {"archiv", "v1"},
 	} {
 		n, err := f.add("m"+strconv.Itoa(i), machine.service, "")
 		if err != nil {
@@ -41,21 +41,18 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second) // the machines are in touch
-	others := f.sendLookups(14, 333*time.Millisecond)
+	others := f.sendLookups(14, 333*time.Millisecond, 24*time.Millisecond)
 	time.Sleep(time.Second)
 	sent := 0
-	for _, length := range []time.Duration{deadlyFor, deadlyFor} { // it comes twice
-		f.rec.add("the deadly request comes for %v", length)
-		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Second) {
-			n := f.nodes[sent%len(f.nodes)]
-			c := client{address: n.outbound}
-			id := "deadly-" + strconv.Itoa(sent)
-			sent++
-			f.rec.add("client: %s sent to %s, %s", id, n.name, deadlyPath)
-			f.rec.add("client: %s %v", id, c.send(http.MethodGet, deadlyPath, id, 4*time.Second, nil))
-			c.close()
-		}
-		time.Sleep(time.Second)
+	f.rec.add("the deadly request comes for %v", deadlyFor)
+	for end := time.Now().Add(deadlyFor); time.Now().Before(end); time.Sleep(time.Second) {
+		n := f.nodes[sent%len(f.nodes)]
+		c := client{address: n.outbound}
+		id := "deadly-" + strconv.Itoa(sent)
+		sent++
+		f.rec.add("client: %s sent to %s, %s", id, n.name, deadlyPath)
+		f.rec.add("client: %s %v", id, c.send(http.MethodGet, deadlyPath, id, 4*time.Second, nil))
+		c.close()
 	}
 	return seen.check(f, sent, others())
 }
