--- a/route/configuration.go
+++ b/route/configuration.go
@@ -26,6 +26,7 @@
 	Objective    time.Duration // latency objective; 0 means none
 	Priority     int           // 0 is the most important
 	MaxAttempts  int           // number of targets that may run one request
+	Public       bool          // requests need no key, although the configuration has accounts
 	Destinations []Destination
 }
 
@@ -40,17 +41,21 @@
 	IdleTimeout    time.Duration // for a connection without a request
 }
 
-// Configuration is one version of all routes, services and limits. Call Index before use.
+// Configuration is one version of all routes, services, accounts and limits. Call Index before use.
 type Configuration struct {
 	Version  Version
 	Routes   []Route
 	Services []Service
+	Accounts []Account
 	Limits   Limits
 
-	byHost map[string][]*Route // by lower-case host; longest path prefix first
+	byHost      map[string][]*Route // by lower-case host; longest path prefix first
+	byKey       map[KeyDigest]*Account
+	importances []importance // sorted; nil if no account states a priority
 }
 
-// Index builds the index that Match uses. Call it once, after the routes are set.
+// Index builds the indexes that Match and the accounts' methods use. Call it once, after the
+// routes and accounts are set.
 func (c *Configuration) Index() {
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
@@ -61,6 +66,7 @@
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
+	c.indexAccounts()
 }
 
 // Match returns the host's route with the longest prefix of the path, or nil if there is
