Responses with a status that HTTP/1.1 doesn't have are broken

Callers saw: on other systems a target in trouble sent a response with the status 000, and the caller got it as an answer. Here, on the platform's path, 000 was skipped as an interim response, so a caller waited for a final one until its deadline; 600 to 999 reached the caller. A peer's reply with any status reached it, too. On the project's own interface 000 counted as completed, and writing it panics in net/http. Cause: net/http accepts any three digits in a status line, and nothing here checked them. Change: package internal/httpstatus; egress, the decoder of replies and agent/link take any status that is neither final nor interim (101 included) for a broken response: the outcome is unknown, and the connection isn't used again.

--- a/agent/link/link.go
+++ b/agent/link/link.go
@@ -23,6 +23,7 @@
 	"github.com/gypsumford/gypsumford/call"
 	"github.com/gypsumford/gypsumford/callhttp"
 	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/internal/httpstatus"
 )
 
 // Limits of the connections that a node holds open.
@@ -81,8 +82,8 @@
 	if err != nil {
 		return failedReply(sent, r.Call.Grant, to.ID)
 	}
-	if response.Header.Get(callhttp.HeaderRequestID) != string(r.Call.Request) {
-		_ = response.Body.Close() // the response to another request
+	if response.Header.Get(callhttp.HeaderRequestID) != string(r.Call.Request) || !httpstatus.IsFinal(response.StatusCode) {
+		_ = response.Body.Close() // the response to another request, or none
 		return failedReply(true, r.Call.Grant, to.ID)
 	}
 	return peerReply(response, to.ID, r.Call.Grant)
@@ -105,6 +106,10 @@
 	if err != nil {
 		return failedReply(sent, r.Call.Grant, "")
 	}
+	if !httpstatus.IsFinal(response.StatusCode) {
+		_ = response.Body.Close() // unread, so that the connection isn't used again
+		return failedReply(true, r.Call.Grant, "")
+	}
 	if response.Header.Get(callhttp.HeaderOutcome) == call.NotRun.String() {
 		retryAfter := callhttp.ReadRetryAfter(response.Header)
 		closeBody(response.Body)
--- a/node/egress/send.go
+++ b/node/egress/send.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/internal/httpstatus"
 )
 
 var (
@@ -180,8 +182,11 @@
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "read response head")
 		}
-		if head.StatusCode < http.StatusOK {
-			continue // interim response
+		if httpstatus.IsInterim(head.StatusCode) {
+			continue
+		}
+		if !httpstatus.IsFinal(head.StatusCode) {
+			return nil, 0, errors.Newf("response has the status %03d, which HTTP/1.1 doesn't have here", head.StatusCode)
 		}
 		c.bounded.remaining = framingFactor * maxBodyBytes
 		body, err := s.bodyMemory.readBody(head.Body)
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumford/gypsumford/callgraph"
+	"github.com/gypsumford/gypsumford/internal/httpstatus"
 	"github.com/gypsumford/gypsumford/route"
 )
 
@@ -105,7 +106,12 @@
 	return w
 }
 
+// reply decodes a reply. If it states a response with a status that HTTP/1.1 doesn't have, the
+// outcome is unknown.
 func (d *symbolDecoder) reply(w *wireReply) *Reply {
+	if w.Outcome == OutcomeResponded && !httpstatus.IsFinal(w.Status) {
+		w.Outcome, w.Reason, w.Status, w.Header, w.Body = OutcomeUnknown, ReasonBroken, 0, nil, nil
+	}
 	r := &Reply{
 		Outcome: w.Outcome, Reason: w.Reason, Arrived: w.Arrived, Status: w.Status,
 		Header: d.fields(w.Header), Body: w.Body, Load: w.Load,
