quarantine: a run clears a request only for the software that ran it

Cause: a run to a response refuted all evidence against the request, at whatever version it ran, so each run on the version that bears it made it free for the one that it crashes. Change: a clearance names the software (service and version) that ran the request. It refutes crashes of that software alone; for the others it states that this software bears the request, which then runs there freely and stays a suspect elsewhere. Clearances of operators, and those of earlier builds, name none and refute everything as before.

--- a/agent/quarantine.go
+++ b/agent/quarantine.go
@@ -172,7 +172,7 @@
 func (q *quarantines) completed(run *targetRun) {
 	q.mu.Lock()
 	q.mu.completions.Record(q.now(), run.fingerprint)
-	clearances := q.mu.table.Clear(run.fingerprint)
+	clearances := q.mu.table.Clear(run.fingerprint, quarantine.Software{})
 	q.mu.Unlock()
 	if len(clearances) > 0 {
 		q.addOwn(nil, clearances...)
--- a/node/crash.go
+++ b/node/crash.go
@@ -133,13 +133,14 @@
 	return runs
 }
 
-// completed records that a request has run to a response, and reports to peers that it is no
-// suspect any more.
-func (d *delivery) completed(f quarantine.Fingerprint) {
+// completed records that a request has run to a response at the target, and reports to peers that
+// it is no suspect there any more.
+func (d *delivery) completed(f quarantine.Fingerprint, target *roster.Target) {
 	d.mu.Lock()
 	d.mu.completions.Record(d.now(), f)
 	d.mu.Unlock()
-	if clearances := d.tables.clearancesFor(f); len(clearances) > 0 {
+	ranOn := quarantine.Software{Service: target.Service, Version: target.Version}
+	if clearances := d.tables.clearancesFor(f, ranOn); len(clearances) > 0 {
 		d.onCleared(clearances)
 	}
 }
@@ -156,7 +157,7 @@
 // request. endProbation is called when the run has ended.
 func (d *delivery) beginProbation(f quarantine.Fingerprint) (endProbation func(), mayRun bool) {
 	placement, candidates := d.tables.place(d.now(), f, d.service)
-	if placement.Status == quarantine.Free {
+	if placement.Spares(candidates, d.instance) {
 		return func() {}, true
 	}
 	if !placement.Allows(candidates, d.instance) {
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -179,9 +179,6 @@
 	started := d.now()
 	endRun := d.tables.beginRun(c.Route, deadline, callgraph.Importance{Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited})
 	reply := d.send(ctx, c, fingerprint, deadline)
-	if reply.Outcome == link.OutcomeResponded {
-		d.completed(fingerprint)
-	}
 	reply.Duration = d.now().Sub(started)
 	endRun(reply.Duration)
 	d.mu.Lock()
@@ -361,6 +358,7 @@
 		d.log.brokenResponse(c, errUnsigned)
 		return &link.Reply{Outcome: link.OutcomeUnknown, Reason: link.ReasonBroken, Arrived: true}
 	case err == nil:
+		d.completed(f, &sentTo)
 		return &link.Reply{
 			Outcome: link.OutcomeResponded, Arrived: true, Status: response.Status,
 			Header: ingress.EndToEndFields(response.Header, d.dialect.IsForNode), Body: response.Body,
--- a/node/operator.go
+++ b/node/operator.go
@@ -52,7 +52,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	clearances := n.tables.clearancesFor(f)
+	clearances := n.tables.clearancesFor(f, quarantine.Software{})
 	if len(clearances) == 0 {
 		http.Error(w, "fingerprint "+f.String()+": no crash is known at which this request was in flight", http.StatusNotFound)
 		return
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -47,14 +47,14 @@
 	return candidates
 }
 
-// clearancesFor returns the clearances for a request that has run to a response.
-func (t *tables) clearancesFor(f quarantine.Fingerprint) []quarantine.Clearance {
+// clearancesFor returns the clearances for a request that has run to a response on the software.
+func (t *tables) clearancesFor(f quarantine.Fingerprint, ranOn quarantine.Software) []quarantine.Clearance {
 	if !t.hasEvidence.Load() {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.mu.quarantine.Clear(f)
+	return t.mu.quarantine.Clear(f, ranOn)
 }
 
 // mostSuspicious returns the requests in flight that are reported for a crash.
@@ -79,6 +79,11 @@
 	switch {
 	case r.placement.Status == quarantine.Free:
 		return candidates, false
+	case len(r.placement.Spared) > 0:
+		for _, i := range r.placement.Spared {
+			allowed = append(allowed, candidates[i])
+		}
+		return allowed, false
 	case r.placement.Only < 0:
 		return nil, true
 	}
@@ -153,11 +158,13 @@
 	n.tables.hasEvidence.Store(!n.tables.mu.quarantine.IsEmpty())
 	n.tables.mu.Unlock()
 	var refuted []quarantine.Clearance
+	local := n.delivery.target()
+	ranOn := quarantine.Software{Service: local.Service, Version: local.Version}
 	for i := range changes {
 		n.log.quarantineChanged(&changes[i], instance)
 		n.metrics.quarantine.Add(changes[i].To.String(), 1)
 		if c := &changes[i]; c.To != quarantine.Free && n.delivery.refutes(c.Fingerprint, c.Since.UnixMilli()) {
-			refuted = append(refuted, n.tables.clearancesFor(c.Fingerprint)...)
+			refuted = append(refuted, n.tables.clearancesFor(c.Fingerprint, ranOn)...)
 		}
 	}
 	if len(refuted) > 0 {
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -6,7 +6,9 @@
 //
 // Evidence comes from the nodes beside targets. A node whose target has crashed reports the
 // fingerprints of the requests that were in flight there; they are suspects. A request that runs
-// to a response afterwards, at any target, refutes the evidence against its fingerprint. Both are
+// to a response afterwards, at a target with the software that crashed, refutes the evidence against
+// its fingerprint. At a target of another service or version it shows that this software bears the
+// request: then it runs at such targets freely, and stays a suspect for the others. All of these are
 // sets of facts that only grow until they expire: all nodes merge the reports of all others, in any
 // order and any number of times, and come to the same result without a coordinator, as the state
 // joins of a lattice do (conflict-free replicated data types).
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -32,6 +32,9 @@
 // simulation plays one service whose requests enter at any node. Reports reach other nodes with
 // delays, out of order and more than once; nodes are killed, and read what was published
 // before.
+// simSoftware is what all targets of the simulation run.
+var simSoftware = Software{"s", "v1"}
+
 type simulation struct {
 	random    *rand.Rand
 	now       time.Time
@@ -110,7 +113,7 @@
 			s.falseHolds[c.Fingerprint]++
 		}
 		if c.To != Free && n.completions.Refutes(c.Fingerprint, c.Since.UnixMilli()) {
-			n.report.Add(nil, n.table.Clear(c.Fingerprint)...)
+			n.report.Add(nil, n.table.Clear(c.Fingerprint, simSoftware)...)
 			defer s.publish(n)
 		}
 	}
@@ -237,7 +240,7 @@
 		}
 		s.served++
 		n.completions.Record(s.now, r.fingerprint)
-		if clearances := n.table.Clear(r.fingerprint); len(clearances) > 0 {
+		if clearances := n.table.Clear(r.fingerprint, simSoftware); len(clearances) > 0 {
 			n.report.Add(nil, clearances...)
 			s.publish(n)
 		}
--- a/quarantine/placement.go
+++ b/quarantine/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -25,8 +26,11 @@
 type Placement struct {
 	Status  Status
 	Crashes int // at which it was in flight and that aren't refuted
-	// Only is the index of the only candidate that may run the request, if the request is not
-	// Free; -1 if none may.
+	// Spared are the indexes of the candidates whose software has run the request to a response,
+	// and isn't known to crash by it. They may run it as any other request.
+	Spared []int
+	// Only is the index of the only candidate that may run the request if it is not Free and no
+	// candidate is spared; -1 if none may.
 	Only int
 	// Until is when a quarantine ends, zero if there is none.
 	Until time.Time
@@ -34,7 +38,12 @@
 
 // Allows reports whether the instance may run the request.
 func (p Placement) Allows(candidates []Candidate, instance string) bool {
-	return p.Status == Free || p.Only >= 0 && candidates[p.Only].Instance == instance
+	return p.Status == Free || p.Only >= 0 && candidates[p.Only].Instance == instance || p.Spares(candidates, instance)
+}
+
+// Spares reports whether the instance may run the request without probation.
+func (p Placement) Spares(candidates []Candidate, instance string) bool {
+	return p.Status == Free || slices.ContainsFunc(p.Spared, func(i int) bool { return candidates[i].Instance == instance })
 }
 
 // IsApart reports whether the request must not run beside other suspects.
@@ -54,13 +63,21 @@
 	}
 	crashes, _, last := e.active()
 	p.Crashes, p.Until = crashes, e.until()
+	for i := range candidates {
+		if e.isSpared(Software{service, candidates[i].Version}) {
+			p.Spared = append(p.Spared, i)
+		}
+	}
+	if len(p.Spared) > 0 {
+		return p
+	}
 	isSole := len(candidates) < 2 && known > len(candidates)
 	if isSole && now.Before(time.UnixMilli(last).Add(soleTargetDelay)) {
 		return p
 	}
 	trialAt := time.UnixMilli(last).Add(versionTrialDelay << max(crashes-quarantineCrashes, 0))
 	p.Only = t.probationTarget(service, candidates, func(c *Candidate) bool {
-		return p.Status != Quarantined || c.Version != "" && !now.Before(trialAt) && !e.hasCrashed(service, c.Version)
+		return p.Status != Quarantined || c.Version != "" && !now.Before(trialAt) && !e.hasCrashed(Software{service, c.Version})
 	})
 	return p
 }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -29,13 +29,23 @@
 	Suspects []Fingerprint
 }
 
-// Clearance refutes the evidence of one crash against requests that have run to a response
-// since, or that an operator has released.
+// Software is what a target runs: two targets with the same software treat a request alike.
+type Software struct {
+	Service string
+	Version string // "" if unknown
+}
+
+// Clearance concerns one crash and requests that have run to a response since, or that an operator
+// has released. It refutes the evidence against them if they ran on the software that crashed;
+// otherwise it states that the software on which they ran bears them.
 type Clearance struct {
 	Instance string // beside which the target crashed
 	Born     int64  // incarnation that crashed
 	At       int64  // when it crashed, in Unix milliseconds
-	Cleared  []Fingerprint
+	// RanOn is the software that ran the requests. Without a service it is any: an operator
+	// released them, or a node of an earlier build reports it.
+	RanOn   Software `json:",omitzero"`
+	Cleared []Fingerprint
 }
 
 // IsEmpty reports whether the report states nothing.
@@ -85,7 +95,8 @@
 }
 
 func compareClearances(a, b Clearance) int {
-	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Born, b.Born))
+	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Born, b.Born),
+		cmp.Compare(a.RanOn.Service, b.RanOn.Service), cmp.Compare(a.RanOn.Version, b.RanOn.Version))
 }
 
 func (r *Report) addClearance(c Clearance) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -26,6 +26,8 @@
 	maxFingerprints = 4096
 	// maxCrashes bounds the crashes that are kept for one fingerprint.
 	maxCrashes = 16
+	// maxSoftware bounds the kinds of software that are kept for one crash.
+	maxSoftware = 8
 )
 
 // Status is what is known of a request.
@@ -71,10 +73,27 @@
 
 // evidence is one crash at which a request was in flight.
 type evidence struct {
-	at               int64 // Unix milliseconds
-	service, version string
-	reported         bool // false if only its clearance is known yet
-	cleared          bool
+	at       int64 // Unix milliseconds
+	software Software
+	reported bool // false if only its clearance is known yet
+	released bool // cleared whatever software ran the request
+	// ranOn is the software that has run the request to a response since.
+	ranOn []Software
+}
+
+// isActive reports whether the evidence is known and not refuted.
+func (e *evidence) isActive() bool {
+	return e.reported && !e.released && !slices.Contains(e.ranOn, e.software)
+}
+
+// addClearance records that the request has run on the software since.
+func (e *evidence) addClearance(ranOn Software) {
+	switch {
+	case ranOn.Service == "":
+		e.released = true
+	case len(e.ranOn) < maxSoftware && !slices.Contains(e.ranOn, ranOn):
+		e.ranOn = append(e.ranOn, ranOn)
+	}
 }
 
 // entry holds the evidence against one fingerprint.
@@ -122,7 +141,7 @@
 		for _, f := range c.Suspects[:min(len(c.Suspects), MaxSuspects)] {
 			e := touch(f, crashID{instance, c.Born})
 			if !e.reported {
-				e.at, e.service, e.version, e.reported = at, c.Service, c.Version, true
+				e.at, e.software, e.reported = at, Software{c.Service, c.Version}, true
 			}
 		}
 	}
@@ -130,7 +149,7 @@
 		c := &r.Clearances[i]
 		for _, f := range c.Cleared[:min(len(c.Cleared), MaxSuspects)] {
 			e := touch(f, crashID{c.Instance, c.Born})
-			e.cleared = true
+			e.addClearance(c.RanOn)
 			if !e.reported {
 				e.at = min(c.At, now.UnixMilli())
 			}
@@ -226,7 +245,7 @@
 // last of them in Unix milliseconds.
 func (e *entry) active() (crashes int, first, last int64) {
 	for _, c := range e.crashes {
-		if !c.reported || c.cleared {
+		if !c.isActive() {
 			continue
 		}
 		if crashes == 0 || c.at < first {
@@ -264,10 +283,23 @@
 	return Suspect
 }
 
-// hasCrashed reports whether the request was in flight when a target of that version crashed.
-func (e *entry) hasCrashed(service, version string) bool {
+// hasCrashed reports whether the request was in flight when a target with that software crashed.
+func (e *entry) hasCrashed(software Software) bool {
+	for _, c := range e.crashes {
+		if c.isActive() && c.software == software {
+			return true
+		}
+	}
+	return false
+}
+
+// isSpared reports whether the request has run to a response on the software and hasn't crashed it.
+func (e *entry) isSpared(software Software) bool {
+	if software.Version == "" || e.hasCrashed(software) {
+		return false
+	}
 	for _, c := range e.crashes {
-		if c.reported && !c.cleared && c.service == service && c.version == version {
+		if slices.Contains(c.ranOn, software) {
 			return true
 		}
 	}
@@ -293,18 +325,20 @@
 	return suspects, quarantined
 }
 
-// Clear returns the clearances for a request that has run to a response, or that an operator
-// has released: one for each crash that is evidence against it. The caller adds them to the
-// report of its own instance with Report.Add and merges that.
-func (t *Table) Clear(f Fingerprint) []Clearance {
+// Clear returns the clearances for a request that has run to a response on the software, or that
+// an operator has released, without a service then: one for each crash that is evidence against it.
+// The caller adds them to the report of its own instance with Report.Add and merges that.
+func (t *Table) Clear(f Fingerprint, ranOn Software) []Clearance {
 	e := t.entries[f]
 	if e == nil {
 		return nil
 	}
 	var clearances []Clearance
 	for id, c := range e.crashes {
-		if c.reported && !c.cleared {
-			clearances = append(clearances, Clearance{Instance: id.instance, Born: id.born, At: c.at, Cleared: []Fingerprint{f}})
+		if c.isActive() && !slices.Contains(c.ranOn, ranOn) {
+			clearances = append(clearances, Clearance{
+				Instance: id.instance, Born: id.born, At: c.at, RanOn: ranOn, Cleared: []Fingerprint{f},
+			})
 		}
 	}
 	slices.SortFunc(clearances, compareClearances)
@@ -406,7 +440,7 @@
 		l.Since, l.Last = time.UnixMilli(first), time.UnixMilli(last)
 		for id, c := range e.crashes {
 			if c.reported {
-				l.Evidence = append(l.Evidence, Evidence{Instance: id.instance, Service: c.service, Version: c.version, At: time.UnixMilli(c.at), Refuted: c.cleared})
+				l.Evidence = append(l.Evidence, Evidence{Instance: id.instance, Service: c.software.Service, Version: c.software.Version, At: time.UnixMilli(c.at), Refuted: !c.isActive()})
 			}
 		}
 		slices.SortFunc(l.Evidence, func(a, b Evidence) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Instance, b.Instance)) })
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -102,7 +102,7 @@
 		})
 		Convey("until it has run to a response, or an operator has released it", func() {
 			var own Report
-			own.Add(nil, table.Clear(bad)...)
+			own.Add(nil, table.Clear(bad, Software{"s", "v1"})...)
 			changes := table.Merge(after(time.Minute), "x", own)
 			So(len(changes), ShouldEqual, 1)
 			So(changes[0].From, ShouldEqual, Quarantined)
@@ -115,6 +115,12 @@
 				So(status(table, after(time.Minute)), ShouldEqual, Quarantined)
 			})
 		})
+		Convey("until an operator has released it, whatever ran it", func() {
+			var own Report
+			own.Add(nil, table.Clear(bad, Software{})...)
+			table.Merge(after(time.Minute), "x", own)
+			So(status(table, after(time.Minute)), ShouldEqual, Free)
+		})
 		Convey("Operators see the evidence", func() {
 			list := table.List(after(time.Minute))
 			So(list[0].Fingerprint, ShouldEqual, bad)
