roster: statements of a target outlive a record that names no target

Cause: a node that starts says hello with a record that names no target yet. Peers took it for the newest and dropped the one with the statements; they also told statements only on connections that they opened themselves. Change: the roster keeps what the last target of an instance stated until the instance's record names a later incarnation, and a node tells a peer what is known on connections that the peer opened, too. Measured: TestTableKeepsStatementsThatARestartedNodeMayNotKnow fails on the old table with the new case; go test ./roster ./node/link ./republish pass.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -91,6 +91,8 @@
 	closeOnce   sync.Once
 	received    atomic.Bool   // a frame was received since the last tick
 	peerVersion atomic.Uint64 // configuration version that the peer reported last
+	accepted    bool          // the peer opened the connection
+	greeted     bool          // the peer's own record was received; used by the goroutine in read only
 
 	mu struct {
 		sync.Mutex
@@ -233,6 +235,10 @@
 	case f.Hello != nil:
 		c.node.ReceiveStoreEpoch(f.Hello.StoreEpoch)
 		c.node.ReceiveRecord(f.Hello.Record)
+		if c.accepted && !c.greeted {
+			c.greeted = true // the first record is the peer's own
+			c.tellStatements(f.Hello.Record.Address)
+		}
 	case f.Pull:
 		c.send(outgoing{frame: frame{State: c.node.State(f.Version == 0)}})
 	case f.State != nil:
@@ -241,6 +247,14 @@
 	}
 }
 
+// tellStatements tells the peer at the address what its target has stated to this node, as the
+// peer may have restarted since.
+func (c *conn) tellStatements(address string) {
+	if stated, ok := c.node.StatedBeside(address); ok {
+		c.send(outgoing{frame: frame{Hello: &Hello{Record: stated, StoreEpoch: c.node.StoreEpoch()}}})
+	}
+}
+
 // pull asks the peer for its state and waits until the node has received it.
 func (c *conn) pull(ctx context.Context) error {
 	done := make(chan struct{})
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -119,9 +119,7 @@
 	c := newConn(p.node, socket)
 	r.mu.conn, r.mu.redialDelay = c, 0
 	c.send(outgoing{frame: frame{Hello: p.hello(p.node.Record())}})
-	if stated, ok := p.node.StatedBeside(address); ok {
-		c.send(outgoing{frame: frame{Hello: p.hello(stated)}})
-	}
+	c.tellStatements(address)
 	go c.run()
 	return c, nil
 }
@@ -185,6 +183,7 @@
 
 func (p *Pool) accept(socket net.Conn) {
 	c := newConn(p.node, socket)
+	c.accepted = true
 	p.mu.Lock()
 	p.mu.inbound[c] = struct{}{}
 	p.mu.Unlock()
--- a/roster/statement_test.go
+++ b/roster/statement_test.go
@@ -225,6 +225,30 @@
 		_, ok = same.StatedBeside("n:1")
 		So(ok, ShouldBeFalse)
 	})
+	// A node that has just started says hello before it has heard of its target. Its record
+	// replaced the one with the statements, and the target that leaves was used again.
+	Convey("Statements are kept while the restarted node names no target", t, func() {
+		restarted := table()
+		restarted.ObserveStatements("n", Target{ID: "a", Born: 100, RateLimit: 8})
+		restarted.ObserveStatements("n", Target{ID: "a", Born: 100, Leaving: true})
+		restarted.Update(Record{Instance: "n", Incarnation: 2, Sequence: 0, Address: "n:1"})
+		stated, ok := restarted.StatedBeside("n:1")
+		So(ok, ShouldBeTrue)
+		So(stated.Target.ID, ShouldEqual, "a")
+		So(stated.Target.Leaving, ShouldBeTrue)
+		restarted.Update(Record{Instance: "n", Incarnation: 2, Sequence: 1, Address: "n:1"})
+		restarted.Update(record(2, 0))
+		So(restarted.Serving("s"), ShouldBeEmpty)
+		So(restarted.Get("n").Target.RateLimit, ShouldEqual, 8)
+		Convey("and dropped with the next incarnation of the target", func() {
+			next := Record{Instance: "n", Incarnation: 2, Sequence: 7, Address: "n:1", Target: ready("b", 200, 1)}
+			restarted.Update(Record{Instance: "n", Incarnation: 2, Sequence: 6, Address: "n:1"})
+			restarted.Update(next)
+			So(len(restarted.Serving("s")), ShouldEqual, 1)
+			_, ok := restarted.StatedBeside("n:1")
+			So(ok, ShouldBeFalse)
+		})
+	})
 	Convey("Statements of another incarnation of the target are ignored", t, func() {
 		other := table()
 		other.ObserveStatements("n", Target{ID: "a", Born: 99, Leaving: true, RateLimit: 8})
--- a/roster/table.go
+++ b/roster/table.go
@@ -13,11 +13,21 @@
 	records map[string]*Record
 	serving map[string][]*Record // by service; each list is sorted by instance and never modified
 	known   map[string]int       // number of instances by service, whatever the state of their targets
+	// stated holds, by instance, the last target that stated something, while the instance's
+	// record names no target: the record of a node that has just started, and hasn't heard of
+	// its target yet, replaces the one with the statements.
+	stated map[string]statedTarget
+}
+
+// statedTarget is a target that stated something, and the incarnation of the node that heard it.
+type statedTarget struct {
+	target      Target
+	incarnation int64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[string]*Record{}, serving: map[string][]*Record{}, known: map[string]int{}}
+	return &Table{records: map[string]*Record{}, serving: map[string][]*Record{}, known: map[string]int{}, stated: map[string]statedTarget{}}
 }
 
 // Update stores a record if it is newer than the stored one of its instance. It reports
@@ -31,7 +41,7 @@
 		return false
 	}
 	if current != nil {
-		r.keepStatements(current)
+		t.keepStatements(current, &r)
 		if r.Incarnation != current.Incarnation { // the new process may not know it yet
 			r.Quarantine = quarantine.Join(current.Quarantine, r.Quarantine)
 		}
@@ -68,18 +78,29 @@
 // those included whose targets are down.
 func (t *Table) Known(service string) int { return t.known[service] }
 
-// keepStatements keeps what the target stated according to the record that r replaces, if
-// r's node may not have heard it: its process was started later.
-func (r *Record) keepStatements(replaced *Record) {
-	if !r.Target.sameIncarnation(&replaced.Target) {
+// keepStatements keeps what the target stated according to the current record, which r replaces,
+// if r's node may not have heard it: its process was started later.
+func (t *Table) keepStatements(current, r *Record) {
+	if current.Target.hasStatement() {
+		t.stated[r.Instance] = statedTarget{current.Target, current.Incarnation}
+	}
+	stated, ok := t.stated[r.Instance]
+	if !ok || r.Target.ID == "" {
 		return
 	}
-	r.Target.Leaving = r.Target.Leaving || replaced.Target.isLeaving()
-	if r.Target.RateLimit == 0 && r.Incarnation != replaced.Incarnation {
-		r.Target.RateLimit = replaced.Target.RateLimit
+	delete(t.stated, r.Instance)
+	if !r.Target.sameIncarnation(&stated.target) {
+		return
+	}
+	r.Target.Leaving = r.Target.Leaving || stated.target.isLeaving()
+	if r.Target.RateLimit == 0 && r.Incarnation != stated.incarnation {
+		r.Target.RateLimit = stated.target.RateLimit
 	}
 }
 
+// hasStatement reports whether the target states anything for all nodes.
+func (t *Target) hasStatement() bool { return t.RateLimit > 0 || t.isLeaving() }
+
 // ObserveStatements records what the target of an instance states of itself, as a reply of
 // its node reports it. Statements of a target that isn't the recorded one are ignored.
 func (t *Table) ObserveStatements(instance string, stated Target) {
@@ -100,12 +121,18 @@
 }
 
 // StatedBeside returns the record of the node at the address, if its target states a rate
-// limit or that it leaves, or if the node has seen a crash.
+// limit or that it leaves, or if the node has seen a crash. Its target is the last one that stated
+// something if the node hasn't named one since.
 func (t *Table) StatedBeside(address string) (Record, bool) {
 	for _, r := range t.records {
-		if r.Address == address && (r.Target.RateLimit > 0 || r.Target.isLeaving() || !r.Quarantine.IsEmpty()) {
-			return *r, true
+		if r.Address != address {
+			continue
+		}
+		beside := *r
+		if stated, ok := t.stated[r.Instance]; ok && r.Target.ID == "" {
+			beside.Target = stated.target
 		}
+		return beside, beside.Target.hasStatement() || !beside.Quarantine.IsEmpty()
 	}
 	return Record{}, false
 }
