node: crashes are noticed although the callers of all runs have left

Cause: only a call whose connection broke looked whether the target had crashed. A cancelled run has no connection any more, so if nothing else was in flight nobody looked. Change: while cancelled runs are remembered, a timer looks every 200 ms whether the target's process has ended, unless an open connection shows that it runs.

--- a/node/crash.go
+++ b/node/crash.go
@@ -16,6 +16,9 @@
 	// cancelledRunMemory is how long a run that was cancelled counts as in flight. The target
 	// may still work on it, and crash by it.
 	cancelledRunMemory = 1 * time.Second
+	// cancelledCheckInterval is the time between checks, during cancelledRunMemory, whether the
+	// target has crashed by a run that was cancelled: no connection breaks that would show it.
+	cancelledCheckInterval = 200 * time.Millisecond
 )
 
 // run is a call that is sent to the local target, until it ends.
@@ -49,6 +52,10 @@
 	now := d.now()
 	if cancelled && !r.writtenAt.IsZero() {
 		r.cancelledAt = now
+		if !d.mu.checkingCancelled {
+			d.mu.checkingCancelled = true
+			time.AfterFunc(cancelledCheckInterval, d.checkCancelled)
+		}
 	} else {
 		delete(d.mu.runs, r)
 	}
@@ -57,6 +64,31 @@
 	}
 }
 
+// checkCancelled looks whether the target has crashed by a run that was cancelled, until such runs
+// are forgotten. Connections that are open show that it hasn't, so mostly none is made.
+func (d *delivery) checkCancelled() {
+	d.mu.Lock()
+	d.forgetCancelled(d.now())
+	var cancelled *run
+	inFlight := false
+	for r := range d.mu.runs {
+		if r.cancelledAt.IsZero() {
+			inFlight = true // its connection shows a crash
+		} else if !r.crashed {
+			cancelled = r
+		}
+	}
+	d.mu.checkingCancelled = cancelled != nil
+	d.mu.Unlock()
+	if cancelled == nil {
+		return
+	}
+	if !inFlight && !d.pool.HasOpenIdle() {
+		d.hasCrashed(cancelled)
+	}
+	time.AfterFunc(cancelledCheckInterval, d.checkCancelled)
+}
+
 // forgetCancelled drops runs that were cancelled long ago. The lock is held.
 func (d *delivery) forgetCancelled(now time.Time) {
 	for r := range d.mu.runs {
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -66,7 +66,9 @@
 		calls         callCounts
 		runs          map[*run]struct{} // at the target, those included that were cancelled a moment ago
 		completions   quarantine.Completions
-		probation     quarantine.Probation
+		// checkingCancelled is set while checkCancelled is due.
+		checkingCancelled bool
+		probation         quarantine.Probation
 		// invalidLoggedAt is when a statement that can't be read was last logged.
 		invalidLoggedAt time.Time
 		limitLoggedAt   time.Time // when a change of the rate limit was last logged
--- a/node/egress/pool.go
+++ b/node/egress/pool.go
@@ -84,7 +84,7 @@
 		return false
 	}
 	// An ending process doesn't close all its connections at the same moment.
-	for waited := time.Duration(0); p.hasOpenIdle(); waited += endPollInterval {
+	for waited := time.Duration(0); p.HasOpenIdle(); waited += endPollInterval {
 		if waited >= maxEndTime || ctx.Err() != nil {
 			return false
 		}
@@ -93,7 +93,9 @@
 	return true
 }
 
-func (p *Pool) hasOpenIdle() bool {
+// HasOpenIdle reports whether the target holds an idle connection open, which shows that its process
+// runs.
+func (p *Pool) HasOpenIdle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.ContainsFunc(p.mu.idle, func(c *conn) bool { return isReusable(c.socket) })
