Requests are identified by the key of their client account

Cause: configurations may hold client accounts, but requests were served without a look at their key, and the key was forwarded to targets.

Change: the dialect reads the key and drops it and the account's name from what is forwarded. The dispatcher finds the account right after the route, answers 401 where a key is needed and none is known, and takes the account into the priority. The name travels with the call (link.Call.Account, a new optional field of the wire) and is written for the target. Fingerprints of package quarantine include the account: the target sees its name, so requests of two accounts differ, and one account can't hold the requests of another.

--- a/node/crash.go
+++ b/node/crash.go
@@ -28,9 +28,9 @@
 	crashed     bool          // the target crashed while the call was in flight
 }
 
-// fingerprintOf returns the fingerprint of a call. Calls name no account.
+// fingerprintOf returns the fingerprint of a call. Calls of targets name no account.
 func fingerprintOf(c *link.Call) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(&quarantine.Request{Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body})
+	return quarantine.FingerprintOf(&quarantine.Request{Account: c.Account, Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body})
 }
 
 // beginWrite records that a call is about to be written to the target.
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -350,6 +350,7 @@
 	response, err := d.sender.Send(ctx, &egress.Request{
 		ID: c.RequestID, TargetID: c.TargetID, Method: c.Method, URI: c.URI, Host: c.Host,
 		Header: c.Header, Body: c.Body, RemainingTime: remaining, CallerService: c.CallerService,
+		Account: c.Account,
 		OnWrite: func() { d.beginWrite(inFlight) },
 	})
 	defer func() { d.endWrite(inFlight, ctx.Err() != nil) }()
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -62,8 +62,9 @@
 	*ingress.Request
 	configuration  *route.Configuration
 	route          *route.Route
+	account        *route.Account // nil without one
 	service        string
-	priority       int   // of the route, or of the root request that this call belongs to
+	priority       int   // of the account and the route, or of the root request that this call belongs to
 	rank           uint8 // of the root request, among those of the priority
 	deadline       time.Time
 	origin         callgraph.Origin
@@ -115,7 +116,10 @@
 	if r.route == nil || len(r.route.Destinations) == 0 {
 		return d.end(r, &ingress.Response{Status: http.StatusNotFound, FromNode: true}, "no-route")
 	}
-	r.deadline, r.priority = deadlineOf(in, r.route), r.route.Priority
+	if response := d.identify(r); response != nil {
+		return response
+	}
+	r.deadline, r.priority = deadlineOf(in, r.route), r.configuration.PriorityOf(r.route, r.account)
 	r.rank = uint8(xxhash.Sum64String(in.RequestID))
 	if response := d.admit(r); response != nil {
 		return response
@@ -282,6 +286,7 @@
 		RequestID: r.RequestID, TargetID: record.Target.ID, Service: r.service, Route: r.route.Name,
 		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		RemainingTime: r.deadline.Sub(d.now()), CallerService: d.settings.Service, Priority: r.priority, Rank: r.rank, Awaited: r.Awaited,
+		Account: r.accountName(),
 	}
 	r.sends++
 	r.sentAt = d.now()
--- a/node/egress/dialect.go
+++ b/node/egress/dialect.go
@@ -18,6 +18,7 @@
 	Body          []byte
 	RemainingTime time.Duration // until the deadline
 	CallerService string        // service of the entry node's target
+	Account       string        // name of the caller's account, "" without one
 	// OnWrite, if set, is called before the first byte of the request is written.
 	OnWrite func()
 }
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -26,6 +26,7 @@
 	RequestID     string
 	RemainingTime time.Duration // until the deadline, if there is one
 	HasDeadline   bool
+	Key           string // of the caller's account, "" without one; never logged or sent to peers
 }
 
 // Dialect defines the platform's header fields of requests and responses.
--- a/node/link/symbols.go
+++ b/node/link/symbols.go
@@ -64,6 +64,14 @@
 	return text{Literal: str}
 }
 
+// optional is like text, but uses no symbol for an empty string.
+func (e *symbolEncoder) optional(str string) text {
+	if str == "" {
+		return text{}
+	}
+	return e.text(str)
+}
+
 // field returns the wire form of a header field. Name and value together become a
 // symbol if they repeat; until then the name alone is one.
 func (e *symbolEncoder) field(name, value string) text {
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -44,6 +44,7 @@
 	Priority  int
 	Rank      uint8
 	Awaited   bool
+	Account   text
 }
 
 type wireReply struct {
@@ -74,6 +75,7 @@
 		Envelope: e.text(joinEnvelope(c)), RequestID: c.RequestID, URI: c.URI,
 		Header: e.fields(sortFields(c.Header)), Body: c.Body,
 		TimeLeft: uint32(max(c.RemainingTime/remainingTimeUnit, 0)), Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited,
+		Account: e.optional(c.Account),
 	}
 }
 
@@ -82,6 +84,7 @@
 	c := &Call{
 		RequestID: w.RequestID, URI: w.URI, Header: d.fields(w.Header), Body: w.Body,
 		RemainingTime: time.Duration(w.TimeLeft) * remainingTimeUnit, Priority: w.Priority, Rank: w.Rank, Awaited: w.Awaited,
+		Account: d.text(w.Account),
 	}
 	if !c.setEnvelope(d.text(w.Envelope)) {
 		return nil
--- a/node/log.go
+++ b/node/log.go
@@ -30,7 +30,7 @@
 		routeName, version = r.route.Name, r.configuration.Version
 	}
 	l.Info("request ended", "request", r.RequestID, "route", routeName, "version", version, "service", r.service,
-		"status", status, "own", response == nil || response.FromNode, "why", why, "last", r.lastReason.String(),
+		"account", r.accountName(), "status", status, "own", response == nil || response.FromNode, "why", why, "last", r.lastReason.String(),
 		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "origin", r.origin.String(),
 		"tookMs", took.Milliseconds(), "score", r.choice.Score, "candidates", r.choice.Candidates,
 		"loadAgeMs", r.choice.LoadAge.Milliseconds())
