Keys are accepted only with proof that the configuration is recent

Cause: a node that is cut off, frozen or suspended would accept a key for as long as it has the configuration that names it, although the key was withdrawn.

Change: package freshness (no I/O) holds what proves that no newer configuration had been acknowledged at a time of the boot clock, and decides when to ask peers and when to read the store. Own linearizable reads are proofs from when they were sent; replies, pongs and states of peers state the age of the peer's proof (frame.ProofAge, a new optional field), which counts from when the own call, ping or pull was written. Pings and pulls carry an ID for that, which the answer repeats; frames that nobody asked for prove nothing, and only suggest a question. Without proof, requests with a key get 503; public routes go on. Settings with bounds.failClosed need bounds.revokeS.

Result: go test ./platform -run Key, ./node/..., ./internal/...: ok.

--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -17,6 +17,7 @@
 	"callgraph",
 	"epoch",
 	"fleet",
+	"freshness",
 	"inventory",
 	"limiter",
 	"loadshed",
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -53,6 +53,7 @@
 	links    *link.Pool
 	log      decisionLog
 	metrics  *metrics
+	proofs   *proofs // nil if requests with a key need no proof
 	// onNoTarget is called when no target of a request's service is known.
 	onNoTarget func()
 }
@@ -116,10 +117,11 @@
 	if r.route == nil || len(r.route.Destinations) == 0 {
 		return d.end(r, &ingress.Response{Status: http.StatusNotFound, FromNode: true}, "no-route")
 	}
+	r.deadline = deadlineOf(in, r.route)
 	if response := d.identify(r); response != nil {
 		return response
 	}
-	r.deadline, r.priority = deadlineOf(in, r.route), r.configuration.PriorityOf(r.route, r.account)
+	r.priority = r.configuration.PriorityOf(r.route, r.account)
 	r.rank = uint8(xxhash.Sum64String(in.RequestID))
 	if response := d.admit(r); response != nil {
 		return response
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -77,7 +78,8 @@
 // pendingCall is a call that waits for its reply.
 type pendingCall struct {
 	done    chan struct{}
-	written atomic.Bool // part of the call may have reached the peer
+	written atomic.Bool   // part of the call may have reached the peer
+	sentAt  time.Duration // of the boot clock, before it was written; set before written
 	reply   *Reply
 	err     error
 }
@@ -85,6 +87,8 @@
 // conn is a connection that this node or the peer opened.
 type conn struct {
 	node        Node
+	proofs      Proofs // nil if none are exchanged
+	questions   questions
 	socket      net.Conn
 	queue       chan outgoing
 	closed      chan struct{}
@@ -104,8 +108,8 @@
 	}
 }
 
-func newConn(node Node, socket net.Conn) *conn {
-	c := &conn{node: node, socket: socket, queue: make(chan outgoing, writeQueueFrames), closed: make(chan struct{})}
+func newConn(node Node, proofs Proofs, socket net.Conn) *conn {
+	c := &conn{node: node, proofs: proofs, socket: socket, queue: make(chan outgoing, writeQueueFrames), closed: make(chan struct{})}
 	c.mu.pending = map[uint64]*pendingCall{}
 	c.mu.serving = map[uint64]context.CancelFunc{}
 	return c
@@ -176,6 +180,7 @@
 // writeBatch writes the frame and all frames queued behind it with one flush.
 func (c *conn) writeBatch(encoder *gob.Encoder, symbols *symbolEncoder, buffer *bufio.Writer, o outgoing) error {
 	for {
+		c.stampFrame(&o)
 		switch {
 		case o.call != nil:
 			o.pending.written.Store(true)
@@ -225,18 +230,21 @@
 			c.serve(f.ID, call)
 		}
 	case f.Reply != nil:
-		c.finish(f.ID, symbols.reply(f.Reply))
+		c.finish(f, symbols.reply(f.Reply))
 	case f.Cancel:
 		c.cancel(f.ID)
 	case f.Ping:
-		c.send(outgoing{frame: frame{Pong: true}})
+		c.send(outgoing{frame: frame{ID: f.ID, Pong: true}})
+	case f.Pong:
+		c.receiveProof(f)
 	case f.Hello != nil:
 		c.node.ReceiveStoreEpoch(f.Hello.StoreEpoch)
 		c.node.ReceiveRecord(f.Hello.Record)
 	case f.Pull:
-		c.send(outgoing{frame: frame{State: c.node.State(f.Version == 0)}})
+		c.send(outgoing{frame: frame{ID: f.ID, State: c.node.State(f.Version == 0)}})
 	case f.State != nil:
 		c.node.ReceiveState(f.State)
+		c.receiveProof(f)
 		c.finishPulls()
 	}
 }
@@ -315,12 +323,16 @@
 	}
 }
 
-func (c *conn) finish(id uint64, reply *Reply) {
+func (c *conn) finish(f *frame, reply *Reply) {
 	c.mu.Lock()
-	p := c.mu.pending[id]
-	delete(c.mu.pending, id)
+	p := c.mu.pending[f.ID]
+	delete(c.mu.pending, f.ID)
 	c.mu.Unlock()
 	if p != nil {
+		if c.proofs != nil && p.written.Load() {
+			age, proven := f.proofAge()
+			c.proofs.Answered(p.sentAt, f.Version, age, proven)
+		}
 		p.reply = reply
 		close(p.done)
 	}
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -40,6 +40,8 @@
 type Pool struct {
 	node Node
 	now  func() time.Time
+	// Proofs is nil if nodes exchange no proofs. It is set before the pool is used.
+	Proofs Proofs
 
 	mu struct {
 		sync.Mutex
@@ -116,7 +118,7 @@
 		}
 		return nil, errors.Mark(errors.Wrapf(err, "connect to peer %s", address), ErrNotSent)
 	}
-	c := newConn(p.node, socket)
+	c := newConn(p.node, p.Proofs, socket)
 	r.mu.conn, r.mu.redialDelay = c, 0
 	c.send(outgoing{frame: frame{Hello: p.hello(p.node.Record())}})
 	if stated, ok := p.node.StatedBeside(address); ok {
@@ -184,7 +186,7 @@
 }
 
 func (p *Pool) accept(socket net.Conn) {
-	c := newConn(p.node, socket)
+	c := newConn(p.node, p.Proofs, socket)
 	p.mu.Lock()
 	p.mu.inbound[c] = struct{}{}
 	p.mu.Unlock()
@@ -221,13 +223,21 @@
 
 // Gossip sends a record to gossipFanout connected peers, chosen at random.
 func (p *Pool) Gossip(r roster.Record) {
-	hello := p.hello(r)
+	p.sendToSome(gossipFanout, frame{Hello: p.hello(r)})
+}
+
+// sendToSome sends the frame to up to n connected peers, chosen at random, and returns to how
+// many.
+func (p *Pool) sendToSome(n int, f frame) (sent int) {
 	conns := p.openConns()
-	for i := range min(gossipFanout, len(conns)) {
+	for i := range min(n, len(conns)) {
 		j := i + rand.IntN(len(conns)-i)
 		conns[i], conns[j] = conns[j], conns[i]
-		conns[i].send(outgoing{frame: frame{Hello: hello}})
+		if conns[i].send(outgoing{frame: f}) {
+			sent++
+		}
 	}
+	return sent
 }
 
 // AnnounceVersion sends the configuration version in force, which every frame
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -18,8 +18,8 @@
 	PressureUnit = 0.02
 )
 
-// frame is one message on the connection. Besides ID, Version and Symbols, exactly
-// one field is set.
+// frame is one message on the connection. Besides ID, Version, Symbols and ProofAge,
+// exactly one field is set.
 type frame struct {
 	ID      uint64
 	Version route.Version // of the sender's configuration
@@ -32,6 +32,9 @@
 	Hello   *Hello
 	Pull    bool
 	State   *State
+	// ProofAge is the age of the sender's proof for its configuration when the frame is
+	// written, in milliseconds, plus 1; 0 if it has none.
+	ProofAge uint32
 }
 
 type wireCall struct {
--- a/node/log.go
+++ b/node/log.go
@@ -167,6 +167,12 @@
 	l.Info("configuration in the store is older", "version", held, "inForce", inForce)
 }
 
+// proofChanged logs that the node has a proof that its configuration is recent, or has no
+// longer one.
+func (l decisionLog) proofChanged(proven bool, age time.Duration, version route.Version) {
+	l.Info("configuration proof", "proven", proven, "ageMs", age.Milliseconds(), "version", version)
+}
+
 func (l decisionLog) inputIgnored(what, why string, more ...any) {
 	l.Info("input ignored", append([]any{"input", what, "why", why}, more...)...)
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,6 +29,7 @@
 	targetEnds     expvar.Map // ends of the local target's process, planned or by a crash
 	quarantine     expvar.Map // requests that became suspects, were quarantined or released, by new status
 	storeFailures  expvar.Map // failed calls to the store, by dependency
+	proofs         expvar.Map // what the node did to prove that its configuration is recent
 	storeEpochs    expvar.Map // what responses of the store showed about its epoch, by finding
 	requestLatency histogram  // from the arrival of a request to its end
 	targetLatency  histogram  // time until the local target responds
@@ -45,7 +46,7 @@
 
 func newMetrics() *metrics {
 	m := &metrics{gauges: map[string]func() int64{}}
-	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.storeFailures, &m.storeEpochs} {
+	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.storeFailures, &m.storeEpochs, &m.proofs} {
 		variable.Init()
 	}
 	m.requestLatency.init()
@@ -85,6 +86,7 @@
 	variable("quarantine_changes", &m.quarantine)
 	variable("store_failures", &m.storeFailures)
 	variable("store_epochs", &m.storeEpochs)
+	variable("configuration_proofs", &m.proofs)
 	variable("request_latency_us", &m.requestLatency)
 	variable("target_latency_us", &m.targetLatency)
 	for name, read := range m.gauges {
--- a/node/node.go
+++ b/node/node.go
@@ -136,6 +136,7 @@
 	links          *link.Pool
 	dispatcher     *dispatcher
 	ingress        *ingress.Server
+	proofs         *proofs // nil if requests with a key need no proof
 	configurations *store.Follower[*route.Configuration]
 	records        *store.Follower[roster.Record]
 
@@ -192,6 +193,11 @@
 		Instance: s.Name, Incarnation: time.Now().UnixMilli(), Address: s.advertised(), Domain: s.Domain,
 	}
 	n.startup.gate, n.startup.answered = startup.NewGate(s.FirstStart), make(chan struct{}, 1)
+	if s.Revocation.FailClosed {
+		n.proofs = newProofs(n)
+		n.links.Proofs, n.dispatcher.proofs = n.proofs, n.proofs
+		n.platform.Configurations = &provingSource{n.platform.Configurations, n.proofs}
+	}
 	n.buildFollowers()
 	n.addGauges()
 	p.Epochs.OnChange(n.epochChanged)
@@ -280,6 +286,9 @@
 	go n.publishLoop(background)
 	go n.consult(background)
 	go n.poll(background)
+	if n.proofs != nil {
+		go n.proofs.run(background)
+	}
 	go periodic.Every(background, republishInterval, n.writeForgotten)
 	go periodic.Every(background, link.TickInterval, n.links.Tick)
 	go periodic.Every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
--- a/node/peers.go
+++ b/node/peers.go
@@ -162,6 +162,9 @@
 			break
 		}
 	}
+	if n.proofs != nil {
+		n.proofs.inForce(c.Version)
+	}
 	n.tables.retainRoutes(c)
 	n.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "from", from)
 	n.links.AnnounceVersion()
