--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -29,6 +29,7 @@
 	"roster",
 	"route",
 	"routing",
+	"servicetime",
 	"startup",
 	"timeline",
 }
