Nodes read the load that targets state, and report the expected service time

The load field was ignored. Its fourth figure, how long work takes on the instance now, scales the node's own average of its target's service times, which replies carry as an optional field. What can't be read is ignored, counted (target_load_invalid) and logged at most once in 10 s. Entries don't use it yet.

Tests: go test ./servicetime ./balance ./node ./node/link, and ./platform -run 'Load|Statement' pass.

--- a/balance/table.go
+++ b/balance/table.go
@@ -61,6 +61,9 @@
 	// RateUse is how much of the target's rate limit is in use, above 1 while requests
 	// wait for it; 0 if the target states none.
 	RateUse float64
+	// ServiceTime is how long the target is expected to take for the next request of the
+	// same route, as its node reports it; 0 if unknown.
+	ServiceTime time.Duration
 }
 
 // Choice is the chosen target, with the data behind the choice for the log.
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -43,6 +43,7 @@
 	tables   *tables
 	metrics  *metrics
 	log      decisionLog
+	speed    *targetLoad
 	started  time.Time // when the node started
 	// onTargetChanged is called when the local target's state has changed because of what
 	// it stated in a response.
@@ -78,7 +79,7 @@
 	pool := egress.NewPool(s.TargetAddress, now)
 	d := &delivery{
 		now: now, service: s.Service, instance: s.Name, pool: pool, dialect: dialect,
-		sender: egress.NewSender(pool, dialect, s.MemoryBytes), started: now(),
+		sender: egress.NewSender(pool, dialect, s.MemoryBytes), started: now(), speed: newTargetLoad(),
 	}
 	d.mu.drainTime = s.DrainTime
 	d.mu.local = roster.NewLocalTarget(s.HeartbeatInterval)
@@ -199,6 +200,7 @@
 	}
 	var pressures loadshed.Pressures
 	reply.Load, reply.Stated, pressures = d.load()
+	d.speed.describe(d.now(), c.Route, &reply.Load)
 	reply.Views, reply.Origin = d.tables.describe(d.now(), c, d.service, pressures)
 	d.log.callEnded(c, reply, d.target)
 	return reply
@@ -354,6 +356,8 @@
 	})
 	defer func() { d.endWrite(inFlight, ctx.Err() != nil) }()
 	d.observeResponse(c, sentTo, sentAt, response)
+	now := d.now()
+	d.speed.observe(now, &sentTo, c.Route, now.Sub(sentAt), response)
 	switch {
 	case err == nil && response.Status < http.StatusMultipleChoices && !response.Fields.Signed:
 		// A success without the target's signature was corrupted on its way, so it
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -342,7 +342,7 @@
 func (d *dispatcher) recordOutcome(r *request, choice balance.Choice, reply *link.Reply) {
 	now := d.now()
 	id := choice.Record.Target.ID
-	load := balance.Load{Running: reply.Load.Running, Waiting: reply.Load.Waiting, Slots: reply.Load.Slots, RateUse: float64(reply.Load.RateUse)}
+	load := balanceLoad(&reply.Load)
 	t := d.tables
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/egress/dialect.go
+++ b/node/egress/dialect.go
@@ -28,6 +28,17 @@
 	Signed    bool // the response has the signature of a target, which generated it
 	NotRun    bool // the target hasn't started to run the request and never will
 	Statement roster.Statement
+	Load      TargetLoad
+}
+
+// TargetLoad is the load that a target states in a response. The zero value states none.
+type TargetLoad struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes at the target at present, as a multiple of the usual
+	// time; 0 if the target doesn't state it.
+	Slowdown float64
+	// Invalid is why a stated load can't be used; nil if it can, or if none is stated.
+	Invalid error
 }
 
 // Dialect writes the header fields of requests and reads those of responses.
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -146,8 +146,17 @@
 	// RateUse is how much of the target's rate limit is in use, above 1 while requests wait
 	// for it; 0 if the target states none.
 	RateUse float32
+	// ServiceTime is how long the target is expected to take for the next request of the
+	// call's route, in ServiceTimeUnit; 0 if unknown, as from earlier builds.
+	ServiceTime uint32
+	// Slowdown is how long work takes at the target at present, in percent of the usual
+	// time, as the target states it; 0 if it doesn't.
+	Slowdown uint16
 }
 
+// ServiceTimeUnit is the unit of Load.ServiceTime.
+const ServiceTimeUnit = 100 * time.Microsecond
+
 // Hello carries a record: that of the sender, when a connection opens and when the
 // record changes, or one of another node that the sender passes on.
 type Hello struct {
--- a/node/link/symbols_test.go
+++ b/node/link/symbols_test.go
@@ -23,7 +23,7 @@
 			reply := &Reply{
 				Outcome: OutcomeResponded, Arrived: true, Status: 200,
 				Header: []string{"Content-Type", "text/plain", "Signature", fmt.Sprint("x", i)}, Body: []byte("answer"),
-				Load:     Load{Running: 3, Slots: 14},
+				Load:     Load{Running: 3, Slots: 14, ServiceTime: 480, Slowdown: 130},
 				Views:    []ServiceView{{Service: "s", Cost: 30 * time.Millisecond, Requests: 4, Pressures: []byte{10, 45}, Age: 20 * time.Millisecond}},
 				Duration: 12 * time.Millisecond,
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -179,6 +179,7 @@
 	n.tables = newTables(s, rand.Float64())
 	n.delivery = newDelivery(s, p.Dialect, n.now)
 	n.delivery.tables, n.delivery.metrics, n.delivery.log = n.tables, n.metrics, n.log
+	n.delivery.speed.metrics, n.delivery.speed.log = n.metrics, n.log
 	n.delivery.onTargetChanged = n.targetChanged
 	n.delivery.onCrash, n.delivery.onCleared = n.targetCrashed, n.requestsCleared
 	n.links = link.NewPool(n, n.now)
@@ -253,6 +254,7 @@
 	n.metrics.gauges["requests_in_flight"] = func() int64 { return int64(n.ingress.InFlight()) }
 	n.metrics.gauges["target_running"] = func() int64 { load, _, _ := n.delivery.load(); return int64(load.Running) }
 	n.metrics.gauges["target_waiting"] = func() int64 { load, _, _ := n.delivery.load(); return int64(load.Waiting) }
+	n.metrics.gauges["target_slowdown_percent"] = func() int64 { return n.delivery.speed.slowdown(n.now()) }
 	n.metrics.gauges["target_rate_limit_milli"] = func() int64 { return int64(n.delivery.target().RateLimit * 1000) }
 	n.metrics.gauges["target_leaving"] = func() int64 {
 		if n.delivery.target().Leaving {
