Targets are drawn in proportion to what they complete; package spillover

Each entry sent to the target with the lowest score, by loads that are a second old, so entries that know the same flooded one target after the other. Now two targets are drawn in proportion to slots over expected latency, and the better one gets the request; the expected latency is what the target's node reports.

Package spillover decides the share of requests that leaves a failure domain by marginal cost. No node uses it yet.

Tests: go test ./balance ./node ./internal/boundary pass.

--- a/balance/table.go
+++ b/balance/table.go
@@ -2,30 +2,24 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gypsumford/gypsumford/roster"
+	"github.com/gypsumford/gypsumford/spillover"
 )
 
 const (
 	latencyRatioGain = 0.15 // weight of one response in a target's latency ratio
+	reportedGain     = 0.5  // the same of a mean that the target's node reports
 	meanLatencyGain  = 0.05 // weight of one response in a route's mean latency
 	failureGain      = 0.15 // weight of one response or lost request in a target's share of failures
 	minLatencyRatio  = 0.1  // lower bound of one observed latency ratio
 	maxLatencyRatio  = 8.0  // upper bound, so that a straggler doesn't dominate the average
 
-	// minRemoteFactor multiplies the score of a target in another failure domain. Each
-	// kilobyte of the route's mean request and response adds remoteFactorPerKilobyte, up
-	// to maxRemoteFactor: traffic between failure domains is charged by the byte, and
-	// long messages take time.
-	minRemoteFactor         = 2.2
-	remoteFactorPerKilobyte = 0.45
-	maxRemoteFactor         = 5.0
-	meanBytesGain           = 0.05 // weight of one response in a route's mean bytes
-	// awaitedRemoteShare is the part of the remote factor above 1 that applies to a
-	// request with Awaited set: other responses wait for its response.
-	awaitedRemoteShare = 0.2
-
+	meanBytesGain  = 0.05 // weight of one response in a route's mean bytes
 	failurePenalty = 8.0  // factor of the score of a target that always fails
 	refusalGain    = 0.1  // weight of one response or refusal in a target's share of refusals
 	refusalPenalty = 12.0 // factor of the score of a target that always refuses
@@ -66,12 +60,17 @@
 	ServiceTime time.Duration
 }
 
+// UseSpillover makes a table of package spillover decide on leaving the failure domain, in
+// place of a fixed factor.
+func (t *Table) UseSpillover(s *spillover.Table) { t.spillover = s }
+
 // Choice is the chosen target, with the data behind the choice for the log.
 type Choice struct {
 	Record     *roster.Record
 	Score      float64
 	Candidates int
 	LoadAge    time.Duration // time since the target's load was last reported, if it was
+	Spillover  spillover.Decision
 }
 
 // Table holds what the node has observed of targets and routes.
@@ -79,6 +78,13 @@
 	domain  string
 	targets map[string]*targetState // by target ID
 	routes  map[string]*routeMeans  // by route name
+	random  *rand.Rand
+	// spillover decides on leaving the failure domain; nil if a fixed factor does.
+	spillover *spillover.Table
+	// scored, views and sums belong to the current choice. They are kept to reuse their memory.
+	scored []candidate
+	views  []spillover.View
+	sums   []viewSums
 }
 
 // routeMeans holds moving averages over the requests of a route.
@@ -103,9 +109,18 @@
 	coldUntilSet bool
 }
 
-// NewTable returns a table for a node in the failure domain.
+// NewTable returns a table for a node in the failure domain. The seed is that of its choices.
 func NewTable(domain string) *Table {
-	return &Table{domain: domain, targets: map[string]*targetState{}, routes: map[string]*routeMeans{}}
+	return NewSeededTable(domain, xxhash.Sum64String(domain))
+}
+
+// NewSeededTable is like NewTable. Nodes should have different seeds, so that they choose
+// differently from the same data.
+func NewSeededTable(domain string, seed uint64) *Table {
+	return &Table{
+		domain: domain, targets: map[string]*targetState{}, routes: map[string]*routeMeans{},
+		random: rand.New(rand.NewPCG(seed, 0)),
+	}
 }
 
 // target returns the state of the target, which it creates if there is none.
@@ -120,64 +135,24 @@
 
 // Request describes the request that a target is chosen for.
 type Request struct {
-	Route string
+	Route   string
+	Service string
 	// Awaited is set if other responses wait for the response to this request, as on a
 	// connection with pipelined requests.
 	Awaited bool
+	// Restricted is set if the candidates aren't all targets of the service, so that they
+	// don't tell how full their failure domains are.
+	Restricted bool
 }
 
-// Choose returns the candidate with the lowest score among those whose target ID isn't
-// excluded. It returns false if there is none.
-func (t *Table) Choose(now time.Time, r Request, candidates []*roster.Record, excluded []string) (Choice, bool) {
-	best := Choice{Candidates: len(candidates)}
-	remote := t.remoteFactor(r.Route)
-	if r.Awaited {
-		remote = 1 + awaitedRemoteShare*(remote-1)
-	}
-	for _, c := range candidates {
-		if contains(excluded, c.Target.ID) {
-			continue
-		}
-		state := t.target(c.Target.ID)
-		if !state.coldUntilSet {
-			state.coldUntilSet = true
-			state.coldUntil = now.Add(c.Target.ColdLeft)
-		}
-		score := t.score(now, state, c)
-		if c.Domain != t.domain {
-			score *= remote
-		}
-		if best.Record == nil || score < best.Score {
-			best.Record, best.Score = c, score
-			best.LoadAge = now.Sub(state.loadReceived)
-		}
-	}
-	return best, best.Record != nil
-}
-
-// remoteFactor returns the factor for the scores of targets in other failure domains.
-func (t *Table) remoteFactor(route string) float64 {
-	const kilobyte = 1 << 10
-	means := t.routes[route]
-	if means == nil {
-		return minRemoteFactor
-	}
-	return min(minRemoteFactor+remoteFactorPerKilobyte*means.bytes/kilobyte, maxRemoteFactor)
-}
-
-// unreachableScore is added to the score of a target that is in backoff.
-const unreachableScore = 1e6
-
-// score returns the expected latency of the next request at the target, as a multiple of
-// the route's mean latency and including the penalties. The failure domain isn't
-// considered.
-func (t *Table) score(now time.Time, state *targetState, r *roster.Record) float64 {
+// baseScore returns the expected latency of the next request at the target if it were idle,
+// as a multiple of the route's mean latency and including the penalties.
+func (t *Table) baseScore(now time.Time, state *targetState) float64 {
 	fade := 1.0
 	if quiet := now.Sub(state.lastActive); quiet > 0 && state.inFlight == 0 {
 		fade = 1 / (1 + 2*quiet.Seconds()/penaltyDecayTime.Seconds())
 	}
-	latencyRatio := 1 + (state.latencyRatio-1)*fade
-	score := latencyRatio * loadFactor(now, state, r.Target.Slots)
+	score := 1 + (state.latencyRatio-1)*fade
 	score *= 1 + (failurePenalty-1)*state.failureShare*fade
 	score *= 1 + (refusalPenalty-1)*state.refusalShare*fade
 	if now.Before(state.coldUntil) {
@@ -186,15 +161,12 @@
 	if state.responses == 0 {
 		score *= untriedFactor
 	}
-	if now.Before(state.backoffUntil) {
-		score += unreachableScore
-	}
 	return score
 }
 
-// loadFactor returns the factor by which a target is expected to be slower than an idle
-// one.
-func loadFactor(now time.Time, state *targetState, slots int) float64 {
+// usedShare returns the share of the target's slots that one more request would use, and
+// their number.
+func usedShare(now time.Time, state *targetState, slots int) (used float64, usable int) {
 	requests := state.inFlight
 	if now.Sub(state.loadReceived) < maxLoadAge {
 		requests = max(requests, state.load.Running+state.load.Waiting)
@@ -202,13 +174,17 @@
 			slots = state.load.Slots
 		}
 	}
-	if slots <= 0 {
-		slots = 1
-	}
-	used := float64(requests+1) / float64(slots)
+	slots = max(slots, 1)
+	used = float64(requests+1) / float64(slots)
 	if now.Sub(state.loadReceived) < maxRateUseAge {
 		used = max(used, state.load.RateUse)
 	}
+	return used, slots
+}
+
+// loadFactor returns the factor by which a target is expected to be slower than an idle
+// one while the share of its slots is in use.
+func loadFactor(used float64) float64 {
 	return 1 + contentionSlope*max(used-contentionThreshold, 0) + queueSlope*max(used-1, 0)
 }
 
@@ -245,8 +221,12 @@
 		means.seconds = took.Seconds()
 	}
 	if means.seconds > 0 {
-		ratio := min(max(took.Seconds()/means.seconds, minLatencyRatio), maxLatencyRatio)
-		state.latencyRatio += latencyRatioGain * (ratio - state.latencyRatio)
+		expected, gain := took, latencyRatioGain
+		if load.ServiceTime > 0 {
+			expected, gain = load.ServiceTime, reportedGain
+		}
+		ratio := min(max(expected.Seconds()/means.seconds, minLatencyRatio), maxLatencyRatio)
+		state.latencyRatio += gain * (ratio - state.latencyRatio)
 	}
 	means.seconds += meanLatencyGain * (took.Seconds() - means.seconds)
 	means.bytes += meanBytesGain * (float64(bytes) - means.bytes)
--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -30,6 +30,7 @@
 	"route",
 	"routing",
 	"servicetime",
+	"spillover",
 	"startup",
 	"timeline",
 }
--- a/node/tables.go
+++ b/node/tables.go
@@ -53,7 +53,7 @@
 func newTables(s *Settings, start float64) *tables {
 	t := &tables{}
 	t.mu.roster = roster.NewTable()
-	t.mu.balance = balance.NewTable(s.Domain)
+	t.mu.balance = balance.NewSeededTable(s.Domain, rand.Uint64())
 	t.mu.retryBudget = retrybudget.New(s.RetryBudget)
 	t.mu.graph = callgraph.NewEstimator(s.Service)
 	t.mu.shed = loadshed.NewTable()
