--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -30,6 +30,8 @@
 	"roster",
 	"route",
 	"routing",
+	"servicetime",
+	"spillover",
 	"startup",
 	"timeline",
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -166,6 +166,7 @@
 		n.proofs.inForce(c.Version)
 	}
 	n.tables.retainRoutes(c)
+	n.delivery.speed.retainRoutes(c)
 	n.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "from", from)
 	n.links.AnnounceVersion()
 }
