--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -23,6 +23,7 @@
 	"membership",
 	"pipeline",
 	"quarantine",
+	"quota",
 	"republish",
 	"retrybudget",
 	"rollout",
