Quotas of accounts in the node: frames, the question after admission, metrics and log lines

Cause: package quota decided, but no node asked it. Change: messages about quotas travel as an optional field of frame, without a goroutine a message; requests of an account with a rate take a token after admission and get 429 or 503 with Retry-After otherwise; tokens of requests that have not run are given back. request.account is nil until keys are looked up.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
 	"github.com/gypsumford/gypsumford/quarantine"
+	"github.com/gypsumford/gypsumford/quota"
 	"github.com/gypsumford/gypsumford/retrybudget"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
@@ -51,6 +52,7 @@
 	tables   *tables
 	delivery *delivery
 	links    *link.Pool
+	quotas   *quotas
 	log      decisionLog
 	metrics  *metrics
 	// onNoTarget is called when no target of a request's service is known.
@@ -62,6 +64,7 @@
 	*ingress.Request
 	configuration  *route.Configuration
 	route          *route.Route
+	account        *route.Account // nil if it has none
 	service        string
 	priority       int   // of the route, or of the root request that this call belongs to
 	rank           uint8 // of the root request, among those of the priority
@@ -73,6 +76,8 @@
 	runs           int       // at targets, including those that may have run
 	excluded       []string  // IDs of the targets that it was sent to
 	hasFingerprint bool
+	quotaToken     quota.Token // valid if hasQuotaToken is set
+	hasQuotaToken  bool
 	unserved       bool           // no target of the service is known
 	slowStart      bool           // admitted before the route's cost was known
 	lastReason     link.Reason    // of the last reply
@@ -122,6 +127,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	if response := d.takeQuota(ctx, r); response != nil {
+		return response
+	}
 	return d.run(ctx, r)
 }
 
@@ -396,6 +404,7 @@
 // end records and logs the end of a request, and returns the response.
 func (d *dispatcher) end(r *request, response *ingress.Response, why string) *ingress.Response {
 	took := d.now().Sub(r.ArrivedAt)
+	d.returnQuota(r)
 	if r.slowStart {
 		d.tables.slowStartEnded(r.route.Name, response != nil && response.Status < http.StatusInternalServerError)
 	}
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -238,6 +238,8 @@
 	case f.State != nil:
 		c.node.ReceiveState(f.State)
 		c.finishPulls()
+	case f.Quota != nil:
+		c.receiveQuota(f.Quota)
 	}
 }
 
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumford/gypsumford/callgraph"
+	"github.com/gypsumford/gypsumford/quota"
 	"github.com/gypsumford/gypsumford/route"
 )
 
@@ -32,6 +33,7 @@
 	Hello   *Hello
 	Pull    bool
 	State   *State
+	Quota   *quota.Message
 }
 
 type wireCall struct {
--- a/node/node.go
+++ b/node/node.go
@@ -135,6 +135,7 @@
 	delivery       *delivery
 	links          *link.Pool
 	dispatcher     *dispatcher
+	quotas         *quotas
 	ingress        *ingress.Server
 	configurations *store.Follower[*route.Configuration]
 	records        *store.Follower[roster.Record]
@@ -191,9 +192,12 @@
 	n.mu.record = roster.Record{
 		Instance: s.Name, Incarnation: time.Now().UnixMilli(), Address: s.advertised(), Domain: s.Domain,
 	}
+	n.quotas = newQuotas(n)
+	n.dispatcher.quotas = n.quotas
 	n.startup.gate, n.startup.answered = startup.NewGate(s.FirstStart), make(chan struct{}, 1)
 	n.buildFollowers()
 	n.addGauges()
+	n.addQuotaGauges()
 	p.Epochs.OnChange(n.epochChanged)
 	return n
 }
@@ -280,6 +284,7 @@
 	go n.publishLoop(background)
 	go n.consult(background)
 	go n.poll(background)
+	go n.quotas.run(background)
 	go periodic.Every(background, republishInterval, n.writeForgotten)
 	go periodic.Every(background, link.TickInterval, n.links.Tick)
 	go periodic.Every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
--- a/node/stop.go
+++ b/node/stop.go
@@ -60,6 +60,7 @@
 	record := n.mu.record
 	n.mu.Unlock()
 	n.announce(record)
+	n.quotas.stop()
 }
 
 // waitIdle returns when no call has been in flight for quietTime, or at the deadline.
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -67,6 +67,15 @@
 	b.clip(bounds)
 }
 
+// release ends the validity of one token before its time.
+func (b *bucket) release(expires time.Duration) {
+	slot := slotOf(expires) + 1
+	if slot > slotOf(b.at) && b.granted[slot%int64(slots)] > 0 {
+		b.granted[slot%int64(slots)]--
+		b.held--
+	}
+}
+
 // untilNext returns how long the bucket takes to hold the next token.
 func (b *bucket) untilNext() time.Duration {
 	return time.Duration((1 - min(b.level, 1)) / (b.limit.Rate * b.effective) * float64(time.Second))
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -52,6 +52,7 @@
 	account string
 	version uint64 // of the limit
 	expires time.Duration
+	isOwn   bool // from the node's own bucket
 }
 
 // Decision is what Take decides.
@@ -124,7 +125,7 @@
 	if left > 0 {
 		b := &e.batches[0]
 		b.tokens--
-		d := Decision{Verdict: Granted, Token: Token{account, limit.version, b.expires}}
+		d := Decision{Verdict: Granted, Token: Token{account, limit.version, b.expires, false}}
 		if left-1 <= e.want()/3 && e.want() > 1 && now >= e.refusedUntil {
 			t.queue(e, account, group)
 			return t.decide(d), t.flush(now)
@@ -166,7 +167,7 @@
 	g := t.grant(now, &Ask{Account: account, Need: 1})
 	switch {
 	case g.Tokens > 0:
-		return Decision{Verdict: Granted, Token: Token{account, limit.version, now + g.Valid}}
+		return Decision{Verdict: Granted, Token: Token{account, limit.version, now + g.Valid, true}}
 	case g.Unknown || !t.parts[GroupOf(account)].asksItself(t):
 		return Decision{Verdict: Unavailable, RetryAfter: unavailableRetry}
 	}
@@ -187,7 +188,11 @@
 	group := GroupOf(token.account)
 	if t.parts[group].asksItself(t) {
 		if h := t.homes[group]; h.effective > 0 {
-			h.bucket(now, token.account, limit.Limit).returned(1, t.bounds)
+			b := h.bucket(now, token.account, limit.Limit)
+			if token.isOwn {
+				b.release(token.expires)
+			}
+			b.returned(1, t.bounds)
 		}
 		return
 	}
--- a/quota/table.go
+++ b/quota/table.go
@@ -88,6 +88,9 @@
 // Configure brings the limits of a configuration into force. Tokens that were granted by other
 // limits are dropped.
 func (t *Table) Configure(now time.Duration, version uint64, accounts []Account) {
+	if version < t.version {
+		return // overtaken by a newer one
+	}
 	limits := make(map[string]limitSince, len(accounts))
 	for _, a := range accounts {
 		if a.Rate <= 0 {
--- a/roster/table.go
+++ b/roster/table.go
@@ -146,6 +146,20 @@
 // Get returns the record of the instance, or nil.
 func (t *Table) Get(instance string) *Record { return t.records[instance] }
 
+// Staying returns the names of the instances whose nodes aren't stopping, sorted, and that of
+// own in any case.
+func (t *Table) Staying(own string) []string {
+	names := make([]string, 0, len(t.records)+1)
+	for name, r := range t.records {
+		if !r.Leaving && name != own {
+			names = append(names, name)
+		}
+	}
+	names = append(names, own)
+	slices.Sort(names)
+	return names
+}
+
 // Len returns the number of instances.
 func (t *Table) Len() int { return len(t.records) }
 
