--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -24,6 +24,7 @@
 	"membership",
 	"pipeline",
 	"quarantine",
+	"quota",
 	"republish",
 	"retrybudget",
 	"rollout",
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
 	"github.com/gypsumford/gypsumford/quarantine"
+	"github.com/gypsumford/gypsumford/quota"
 	"github.com/gypsumford/gypsumford/retrybudget"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
@@ -51,6 +52,7 @@
 	tables   *tables
 	delivery *delivery
 	links    *link.Pool
+	quotas   *quotas
 	log      decisionLog
 	metrics  *metrics
 	proofs   *proofs // nil if requests with a key need no proof
@@ -75,6 +77,8 @@
 	runs           int       // at targets, including those that may have run
 	excluded       []string  // IDs of the targets that it was sent to
 	hasFingerprint bool
+	quotaToken     quota.Token // valid if hasQuotaToken is set
+	hasQuotaToken  bool
 	unserved       bool           // no target of the service is known
 	slowStart      bool           // admitted before the route's cost was known
 	lastReason     link.Reason    // of the last reply
@@ -128,6 +132,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	if response := d.takeQuota(ctx, r); response != nil {
+		return response
+	}
 	return d.run(ctx, r)
 }
 
@@ -403,6 +410,7 @@
 // end records and logs the end of a request, and returns the response.
 func (d *dispatcher) end(r *request, response *ingress.Response, why string) *ingress.Response {
 	took := d.now().Sub(r.ArrivedAt)
+	d.returnQuota(r)
 	if r.slowStart {
 		d.tables.slowStartEnded(r.route.Name, response != nil && response.Status < http.StatusInternalServerError)
 	}
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -252,6 +252,8 @@
 		c.node.ReceiveState(f.State)
 		c.receiveProof(f)
 		c.finishPulls()
+	case f.Quota != nil:
+		c.receiveQuota(f.Quota)
 	}
 }
 
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -6,6 +6,7 @@
 
 	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/internal/httpstatus"
+	"github.com/gypsumford/gypsumford/quota"
 	"github.com/gypsumford/gypsumford/route"
 )
 
@@ -36,6 +37,7 @@
 	// ProofAge is the age of the sender's proof for its configuration when the frame is
 	// written, in milliseconds, plus 1; 0 if it has none.
 	ProofAge uint32
+	Quota    *quota.Message
 }
 
 type wireCall struct {
--- a/node/node.go
+++ b/node/node.go
@@ -135,6 +135,7 @@
 	delivery       *delivery
 	links          *link.Pool
 	dispatcher     *dispatcher
+	quotas         *quotas
 	ingress        *ingress.Server
 	proofs         *proofs // nil if requests with a key need no proof
 	configurations *store.Follower[*route.Configuration]
@@ -193,6 +194,8 @@
 	n.mu.record = roster.Record{
 		Instance: s.Name, Incarnation: time.Now().UnixMilli(), Address: s.advertised(), Domain: s.Domain,
 	}
+	n.quotas = newQuotas(n)
+	n.dispatcher.quotas = n.quotas
 	n.startup.gate, n.startup.answered = startup.NewGate(s.FirstStart), make(chan struct{}, 1)
 	if s.Revocation.FailClosed {
 		n.proofs = newProofs(n)
@@ -201,6 +204,7 @@
 	}
 	n.buildFollowers()
 	n.addGauges()
+	n.addQuotaGauges()
 	p.Epochs.OnChange(n.epochChanged)
 	return n
 }
@@ -291,6 +295,7 @@
 	if n.proofs != nil {
 		go n.proofs.run(background)
 	}
+	go n.quotas.run(background)
 	go periodic.Every(background, republishInterval, n.writeForgotten)
 	go periodic.Every(background, link.TickInterval, n.links.Tick)
 	go periodic.Every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
