--- a/spillover/doc.go
+++ b/spillover/doc.go
@@ -6,7 +6,8 @@
 // all requests of a node stay until the own targets have a queue, and all of them leave at
 // once when it is long enough, to targets of which little is known. In virtual time (package
 // balance, scenario "uneven": one domain at 1.1 of its targets' nominal capacity beside two at
-// 0.3) 0.914 to 0.952 of the requests were served in time that way, 0.991 with this package.
+// 0.3) 0.92 of the requests were served in time that way, 0.99 with this package. Where all
+// domains are full, 0.67 of the requests crossed in vain, now 0.007.
 //
 // Each node decides alone, from the loads that replies report. For each other domain it keeps
 // the gain of leaving: the cost of one more request in the own domain less that in the other
@@ -20,7 +21,7 @@
 // proportional share keep their sum from swinging between domains. There is no state to
 // return from: as the own domain's cost falls, the share does.
 //
-// A domain of which nothing was heard gets single probes, at growing intervals while they show
-// no gain. Bounds: one average for each service and domain, and at most one probe each
-// minProbePause.
+// A domain of which little was heard gets single probes, at growing intervals while they show
+// no gain. Bounds: two averages for each service and domain, maxServices services, and at most
+// one probe of a service each minProbePause.
 package spillover
--- a/spillover/table.go
+++ b/spillover/table.go
@@ -12,13 +12,14 @@
 	// gainHorizon is the time constant of the gain, several times the age of the loads that
 	// it is computed of. With 2 s, demand that comes in pulses of 5 s was served late.
 	gainHorizon = 1 * time.Second
-	// A gain that few reports show is multiplied by reports/(reports+doubtfulReports). With
-	// enoughReports no probe is needed.
+	// A gain that few reports show is multiplied by reports/(reports+doubtfulReports): a probe
+	// reaches one target, which may be idle by chance. With enoughReports no probe is needed.
 	doubtfulReports = 0.5
 	enoughReports   = 1.0
-	// A node sends at most one probe each minProbePause. The pause doubles up to
-	// maxProbePause while probes show no gain.
-	minProbePause, maxProbePause = 200 * time.Millisecond, 4 * time.Second
+	// A node sends at most one probe of a service each minProbePause. The pause doubles up
+	// to maxProbePause while probes show no gain. With 4 s and a pause for each domain, probes
+	// were 0.02 of the requests where all domains are full, now 0.007.
+	minProbePause, maxProbePause = 200 * time.Millisecond, 8 * time.Second
 	// maxServices bounds the services that the table keeps state of. Requests of further
 	// ones stay in their domain while it has targets.
 	maxServices = 4096
@@ -38,15 +39,16 @@
 	gains     map[string]*gain // by failure domain
 	share     float64          // moving average of the shares of the requests' decisions
 	decidedAt time.Time
-	leaving   bool // as it was reported last
+	leaving   bool          // as it was reported last
+	probeAt   time.Time     // earliest time of the next probe
+	pause     time.Duration // before it
 }
 
 // gain is the moving average of what a request gains in another failure domain.
 type gain struct {
-	value   float64
-	updated time.Time
-	probeAt time.Time     // earliest time of the next probe
-	pause   time.Duration // before it
+	value     float64
+	potential float64 // moving average of the gain if the other domain had room
+	updated   time.Time
 }
 
 // Decide decides where a request for the service goes. crossing is the cost of leaving, and
@@ -78,19 +80,25 @@
 // the domains.
 func (s *service) decide(now time.Time, crossing, draw float64, own *View, others []View, weights []float64) Decision {
 	total, share := 0.0, 0.0
+	unknown := -1 // the domain with the fewest reports of those where room would pay
 	for i := range others {
 		other := &others[i]
 		if other.Targets == 0 {
 			continue
 		}
 		g := s.observe(now, own, other)
-		if g.probeDue(now, crossing, own, other) {
-			return Decision{Domain: other.Domain, Reason: Probe}
-		}
 		weights[i] = min(max((g.value-crossing)/rampWidth, 0), 1)
 		share = max(share, weights[i])
 		weights[i] *= other.Capacity
 		total += weights[i]
+		if other.Reports < enoughReports && g.potential > crossing && (unknown < 0 || other.Reports < others[unknown].Reports) {
+			unknown = i
+		}
+	}
+	if share > 0 {
+		s.pause = 0
+	} else if unknown >= 0 && s.probe(now) {
+		return Decision{Domain: others[unknown].Domain, Reason: Probe}
 	}
 	if draw >= share || total <= 0 {
 		return Decision{Share: share}
@@ -137,26 +145,26 @@
 		g = &gain{updated: now}
 		s.gains[other.Domain] = g
 	}
-	observed := 0.0
+	observed, potential := 0.0, 0.0
+	if own.Reports > 0 {
+		potential = own.gainOf(other, assumedUsed)
+	}
 	if own.Reports > 0 && other.Reports > 0 {
 		observed = own.gainOf(other, other.Used+remoteMargin) * other.Reports / (other.Reports + doubtfulReports)
 	}
-	g.value += (1 - math.Exp(-max(now.Sub(g.updated), 0).Seconds()/gainHorizon.Seconds())) * (observed - g.value)
+	weight := 1 - math.Exp(-max(now.Sub(g.updated), 0).Seconds()/gainHorizon.Seconds())
+	g.value += weight * (observed - g.value)
+	g.potential += weight * (potential - g.potential)
 	g.updated = now
 	return g
 }
 
-// probeDue reports whether a request is to be sent to a domain of which too little is known,
-// and records that it is.
-func (g *gain) probeDue(now time.Time, crossing float64, own, other *View) bool {
-	if g.value > crossing {
-		g.pause = 0
-		return false
-	}
-	if other.Reports >= enoughReports || now.Before(g.probeAt) || own.Reports == 0 || own.gainOf(other, assumedUsed) < crossing {
+// probe reports whether a probe is due, and records that it is sent.
+func (s *service) probe(now time.Time) bool {
+	if now.Before(s.probeAt) {
 		return false
 	}
-	g.pause = min(max(2*g.pause, minProbePause), maxProbePause)
-	g.probeAt = now.Add(g.pause)
+	s.pause = min(max(2*s.pause, minProbePause), maxProbePause)
+	s.probeAt = now.Add(s.pause)
 	return true
 }
