--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -21,6 +21,7 @@
 	"limiter",
 	"loadshed",
 	"membership",
+	"membudget",
 	"pipeline",
 	"quarantine",
 	"republish",
--- a/node/crash.go
+++ b/node/crash.go
@@ -30,7 +30,7 @@
 
 // fingerprintOf returns the fingerprint of a call. Calls name no account.
 func fingerprintOf(c *link.Call) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(&quarantine.Request{Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body})
+	return quarantine.FingerprintOfParts(&quarantine.Request{Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body}, c.Rest)
 }
 
 // beginWrite records that a call is about to be written to the target.
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -349,7 +349,7 @@
 	inFlight := &run{call: c, fingerprint: f, target: sentTo}
 	response, err := d.sender.Send(ctx, &egress.Request{
 		ID: c.RequestID, TargetID: c.TargetID, Method: c.Method, URI: c.URI, Host: c.Host,
-		Header: c.Header, Body: c.Body, RemainingTime: remaining, CallerService: c.CallerService,
+		Header: c.Header, Body: c.Body, Rest: c.Rest, RemainingTime: remaining, CallerService: c.CallerService,
 		OnWrite: func() { d.beginWrite(inFlight) },
 	})
 	defer func() { d.endWrite(inFlight, ctx.Err() != nil) }()
@@ -359,11 +359,13 @@
 		// A success without the target's signature was corrupted on its way, so it
 		// isn't passed on.
 		d.log.brokenResponse(c, errUnsigned)
+		response.Lease.Release()
 		return &link.Reply{Outcome: link.OutcomeUnknown, Reason: link.ReasonBroken, Arrived: true}
 	case err == nil:
 		return &link.Reply{
 			Outcome: link.OutcomeResponded, Arrived: true, Status: response.Status,
-			Header: ingress.EndToEndFields(response.Header, d.dialect.IsForNode), Body: response.Body,
+			Header: ingress.EndToEndFields(response.Header, d.dialect.IsForNode),
+			Body:   response.Body, Rest: response.Rest, Lease: response.Lease,
 		}
 	case errors.Is(err, egress.ErrUnreachable):
 		return notRun(link.ReasonUnreachable)
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumford/gypsumford/loadshed"
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
+	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/quarantine"
 	"github.com/gypsumford/gypsumford/retrybudget"
 	"github.com/gypsumford/gypsumford/roster"
@@ -280,7 +281,7 @@
 	record := choice.Record
 	call := &link.Call{
 		RequestID: r.RequestID, TargetID: record.Target.ID, Service: r.service, Route: r.route.Name,
-		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, Rest: r.Rest,
 		RemainingTime: r.deadline.Sub(d.now()), CallerService: d.settings.Service, Priority: r.priority, Rank: r.rank, Awaited: r.Awaited,
 	}
 	r.sends++
@@ -353,7 +354,7 @@
 	switch {
 	case reply.Outcome == link.OutcomeResponded:
 		failed := reply.Status >= http.StatusInternalServerError
-		t.mu.balance.Responded(now, id, r.route.Name, reply.Duration, len(r.Body)+len(reply.Body), load, failed)
+		t.mu.balance.Responded(now, id, r.route.Name, reply.Duration, memory.Size(r.Body, r.Rest)+memory.Size(reply.Body, reply.Rest), load, failed)
 	case reply.Reason == link.ReasonCancelled:
 		t.mu.balance.Cancelled(now, id, r.route.Name, now.Sub(r.sentAt))
 	case reply.Reason == link.ReasonUnreachable || reply.Reason == link.ReasonTargetChanged:
@@ -368,7 +369,7 @@
 }
 
 func responseOf(reply *link.Reply) *ingress.Response {
-	return &ingress.Response{Status: reply.Status, Header: reply.Header, Body: reply.Body}
+	return &ingress.Response{Status: reply.Status, Header: reply.Header, Body: reply.Body, Rest: reply.Rest, Lease: reply.Lease}
 }
 
 // giveUp ends a request that is not retried. The caller gets the last response that
--- a/node/egress/dialect.go
+++ b/node/egress/dialect.go
@@ -16,6 +16,7 @@
 	Host          string
 	Header        []string // alternating names and values
 	Body          []byte
+	Rest          [][]byte      // parts of a long body that follow Body
 	RemainingTime time.Duration // until the deadline
 	CallerService string        // service of the entry node's target
 	// OnWrite, if set, is called before the first byte of the request is written.
--- a/node/egress/endless_test.go
+++ b/node/egress/endless_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/node/memory"
 )
 
 // startEndlessTarget starts a target that accepts one connection, and sends the prefix once and
@@ -62,8 +64,8 @@
 	} {
 		Convey("Endless bytes "+name+" end in ErrBroken, use bounded memory, and the connection is closed", t, func() {
 			address, sent, closed := startEndlessTarget(t, c.prefix, c.repeated)
-			const memory = 184 << 20
-			s := NewSender(NewPool(address, time.Now), plainDialect{}, memory)
+			const memoryBytes = 184 << 20
+			s := NewSender(NewPool(address, time.Now), plainDialect{}, memoryBytes)
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			_, err := s.Send(ctx, &Request{ID: "1", Method: http.MethodGet, URI: "/", Host: "h"})
@@ -71,12 +73,12 @@
 			So(ctx.Err(), ShouldBeNil)
 			<-closed
 			So(sent.Load(), ShouldBeLessThan, c.maxSent)
-			So(s.bodyMemory.used.Load(), ShouldEqual, 0)
+			So(s.budget.Used(), ShouldEqual, 0)
 			So(s.pool.popIdle(""), ShouldBeNil)
 			var m runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&m)
-			So(m.HeapInuse, ShouldBeLessThan, memory)
+			So(m.HeapInuse, ShouldBeLessThan, memoryBytes)
 		})
 	}
 	Convey("Reading an endless slow response ends at the deadline", t, func() {
@@ -89,11 +91,20 @@
 		<-closed
 	})
 	Convey("Bodies that are read concurrently share one memory limit", t, func() {
-		memory := &bodyMemory{limit: 1000}
-		memory.used.Add(900)
-		_, err := memory.readBody(strings.NewReader(strings.Repeat("x", 200)))
-		So(errors.Is(err, errNoMemory), ShouldBeTrue)
-		So(memory.used.Load(), ShouldEqual, 900)
+		s := NewSender(NewPool("", time.Now), plainDialect{}, 8<<20)
+		other := s.budget.Lease(s.budget.MaxBytes() - 100_000)
+		So(other, ShouldNotBeNil)
+		held := s.budget.Used()
+		_, _, _, err := s.readBody(strings.NewReader(strings.Repeat("x", 200_000)), -1)
+		So(errors.Is(err, memory.ErrNoRoom), ShouldBeTrue)
+		So(s.budget.Used(), ShouldEqual, held)
+		other.Release()
+		first, rest, lease, err := s.readBody(strings.NewReader(strings.Repeat("x", 200_000)), -1)
+		So(err, ShouldBeNil)
+		So(memory.Size(first, rest), ShouldEqual, 200_000)
+		So(s.budget.Used(), ShouldBeGreaterThanOrEqualTo, 200_000)
+		lease.Release()
+		So(s.budget.Used(), ShouldEqual, 0)
 	})
 }
 
--- a/node/egress/meter.go
+++ b/node/egress/meter.go
@@ -2,9 +2,10 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/node/memory"
 )
 
 const (
@@ -17,20 +18,14 @@
 	// framingFactor times maxBodyBytes bounds the bytes that are read from the connection
 	// for one body: the chunked encoding adds lines of its own.
 	framingFactor = 2
-	// bodyMemoryShare is the fraction of the process's memory limit that the bodies which are
-	// being read may use.
-	bodyMemoryShare = 0.2
-	// maxBodyMemoryBytes bounds the memory of the bodies that are being read, even if the process
-	// has no memory limit or a large one.
-	maxBodyMemoryBytes = 128 << 20
+	// uncountedBytes is what a body may have without being counted. The number of such bodies is
+	// bounded by the slots of the target.
+	uncountedBytes = 16 << 10
 )
 
 // errTooLong means that the target sends more bytes than a response may have.
 var errTooLong = errors.New("response exceeds the size limit")
 
-// errNoMemory means that the bodies which are being read use all the memory that they may.
-var errNoMemory = errors.New("memory limit for response bodies exceeded")
-
 // boundedReader reads from a connection up to a bound, because a faulty target may send bytes
 // without end.
 type boundedReader struct {
@@ -48,36 +43,25 @@
 	return n, err
 }
 
-// bodyMemory counts the bytes of the bodies that are being read on all connections.
-type bodyMemory struct {
-	used  atomic.Int64
-	limit int64 // bytes
-}
-
-// readBody reads a whole body. The bytes count as used until it returns.
-func (m *bodyMemory) readBody(source io.Reader) (body []byte, err error) {
-	reader := &countingReader{source: io.LimitReader(source, maxBodyBytes+1), memory: m}
-	defer func() { m.used.Add(-reader.bytes) }()
-	body, err = io.ReadAll(reader)
-	if err == nil && len(body) > maxBodyBytes {
-		err = errTooLong
+// readBody reads a whole body, whose stated length is negative if unknown. The lease is of the
+// memory of the body, nil for a short one.
+func (s *Sender) readBody(source io.Reader, length int64) (first []byte, rest [][]byte, lease *memory.Lease, err error) {
+	total := int64(0)
+	take := func(bytes int64) bool {
+		total += bytes
+		switch {
+		case total <= uncountedBytes:
+			return true
+		case lease != nil:
+			return lease.Grow(bytes)
+		}
+		lease = s.budget.Lease(total)
+		return lease != nil
 	}
-	return body, err
-}
-
-// countingReader counts the bytes that it reads as used memory.
-type countingReader struct {
-	source io.Reader
-	memory *bodyMemory
-	bytes  int64
-}
-
-// Read reads from the source and fails with errNoMemory if the memory is exceeded.
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.source.Read(p)
-	r.bytes += int64(n)
-	if r.memory.used.Add(int64(n)) > r.memory.limit {
-		return n, errNoMemory
+	first, rest, _, err = memory.ReadBody(source, length, maxBodyBytes, take)
+	if err != nil {
+		lease.Release()
+		return nil, nil, nil, err
 	}
-	return n, err
+	return first, rest, lease, nil
 }
--- a/node/egress/send.go
+++ b/node/egress/send.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/node/memory"
 )
 
 var (
@@ -38,27 +40,27 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Rest   [][]byte      // parts of a long body that follow Body
+	Lease  *memory.Lease // of the memory of a long body, nil for a short one
 	Fields ResponseFields
 }
 
 // Sender sends requests over a pool's connections to the target.
 type Sender struct {
-	pool       *Pool
-	dialect    Dialect
-	bodyMemory bodyMemory
+	pool    *Pool
+	dialect Dialect
+	budget  *memory.Budget
 }
 
 // NewSender returns a sender that uses the pool. memoryBytes is the memory limit of the
 // process, 0 if it has none.
 func NewSender(pool *Pool, dialect Dialect, memoryBytes int64) *Sender {
-	s := &Sender{pool: pool, dialect: dialect}
-	s.bodyMemory.limit = maxBodyMemoryBytes
-	if memoryBytes > 0 {
-		s.bodyMemory.limit = min(s.bodyMemory.limit, int64(bodyMemoryShare*float64(memoryBytes)))
-	}
-	return s
+	return &Sender{pool: pool, dialect: dialect, budget: memory.NewBudget(memoryBytes, 0, pool.now)}
 }
 
+// UseBudget replaces the sender's own memory account. It is called before the first request.
+func (s *Sender) UseBudget(b *memory.Budget) { s.budget = b }
+
 // Send sends the request once and returns the complete response. The error matches
 // ErrUnreachable, ErrNotRun (returned with the response), ErrBroken or the context's error.
 func (s *Sender) Send(ctx context.Context, r *Request) (*Response, error) {
@@ -71,8 +73,11 @@
 	}
 	stop := context.AfterFunc(ctx, c.reset)
 	response, idleTimeout, err := s.exchange(c, r)
-	if !stop() && err != nil {
-		return nil, errors.CombineErrors(ctx.Err(), err)
+	if !stop() {
+		if err != nil {
+			return nil, errors.CombineErrors(ctx.Err(), err)
+		}
+		idleTimeout = 0 // the connection is being reset
 	}
 	if response != nil && response.Fields.NotRun && !c.recordRefusal(r.ID) {
 		idleTimeout = 0
@@ -86,6 +91,8 @@
 		return nil, errors.Mark(err, ErrBroken)
 	}
 	if response.Fields.NotRun {
+		response.Lease.Release()
+		response.Body, response.Rest, response.Lease = nil, nil, nil
 		return response, ErrNotRun
 	}
 	return response, nil
@@ -98,7 +105,7 @@
 		r.OnWrite()
 	}
 	written := make(chan error, 1)
-	if len(r.Body) <= inlineBodyBytes {
+	if len(r.Body) <= inlineBodyBytes && len(r.Rest) == 0 {
 		written <- s.write(c, r)
 	} else {
 		go func() { written <- s.write(c, r) }()
@@ -132,10 +139,15 @@
 		}
 	}
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		line("Content-Length: ", strconv.Itoa(len(r.Body)), "\r\n")
+		line("Content-Length: ", strconv.Itoa(memory.Size(r.Body, r.Rest)), "\r\n")
 	}
 	line("\r\n")
 	_, _ = w.Write(r.Body)
+	for _, part := range r.Rest {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+	}
 	return w.Flush()
 }
 
@@ -155,6 +167,7 @@
 		if response.Fields.RequestID == "" {
 			return s.handleWithoutID(c, response)
 		}
+		response.Lease.Release()
 		if idleTimeout == 0 {
 			break
 		}
@@ -169,6 +182,7 @@
 	if response.Fields.NotRun && !c.reused {
 		return response, 0, nil
 	}
+	response.Lease.Release()
 	return nil, 0, errors.Newf("response with status %d has no request ID", response.Status)
 }
 
@@ -184,11 +198,11 @@
 			continue // interim response
 		}
 		c.bounded.remaining = framingFactor * maxBodyBytes
-		body, err := s.bodyMemory.readBody(head.Body)
+		body, rest, lease, err := s.readBody(head.Body, head.ContentLength)
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "read response body")
 		}
-		response := &Response{Status: head.StatusCode, Header: head.Header, Body: body}
+		response := &Response{Status: head.StatusCode, Header: head.Header, Body: body, Rest: rest, Lease: lease}
 		response.Fields = s.dialect.ReadResponse(head.StatusCode, head.Header)
 		return response, allowedIdleTime(head), nil
 	}
--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/pipeline"
 )
 
@@ -24,8 +25,6 @@
 	defaultIdleTimeout = 5 * time.Minute
 	// defaultBodyTimeout bounds the time to read a body whose request states no deadline.
 	defaultBodyTimeout = 30 * time.Second
-	// writeTimeout bounds the time to write one response, however slowly the caller reads.
-	writeTimeout = 30 * time.Second
 	// firstRequestTimeout is how long, once the server is stopping, it waits for the first
 	// request of a connection.
 	firstRequestTimeout = 1 * time.Second
@@ -48,17 +47,25 @@
 	reader *bufio.Reader // used by the goroutine in serve only
 	ctx    context.Context
 	cancel context.CancelFunc
+	// account is what the connection holds. headBytes, of the read buffer beyond its initial size,
+	// and bounded, set when the send buffer is bounded, are used by the reading and the writing
+	// goroutine only.
+	account   *memory.Client
+	headBytes int
+	bounded   bool
 
 	mu struct {
 		sync.Mutex
 		changed   *sync.Cond // a response was written, or the queue closed or abandoned
 		queue     pipeline.Queue[*exchange]
-		unused    bool // no request has been read yet
-		reading   bool // a request has arrived in part
-		writing   bool // a goroutine is writing responses
-		pipelined bool // the caller has sent a request before the response to the previous one
-		stopping  bool // the server is stopping
-		aborted   bool // the connection is closed, and its requests are cancelled
+		unused    bool      // no request has been read yet
+		reading   bool      // a request has arrived in part
+		writing   bool      // a goroutine is writing responses
+		pipelined bool      // the caller has sent a request before the response to the previous one
+		stopping  bool      // the server is stopping
+		aborted   bool      // the connection is closed, and its requests are cancelled
+		waiting   bool      // the account was told that the connection waits for others than the caller
+		idleSince time.Time // when the last response was sent, or the last request was read
 	}
 }
 
@@ -68,17 +75,20 @@
 	outgoing outgoing
 }
 
+// newConn returns a connection, whose account is nil if there is no room for it.
 func newConn(s *Server, socket net.Conn) *conn {
 	c := &conn{server: s, socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.mu.changed = sync.NewCond(&c.mu)
 	c.mu.unused = true
+	c.account = s.budget.OpenClient(c.evict)
 	return c
 }
 
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.remove(c)
+	defer c.releaseConnection()
 	defer c.abort()
 	defer c.recoverPanic("connection with a caller")
 	for c.awaitRequest() {
@@ -96,50 +106,73 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request. It returns false if no further
-// request is to be read.
+// awaitRequest waits for the first byte of a request, and then until the queue has room. It returns
+// false if no further request is to be read. It reads ahead while the queue has no room, so that
+// it notices a caller that disconnects.
 func (c *conn) awaitRequest() bool {
 	for {
-		if !c.awaitRoom() {
+		idle := c.startIdle()
+		if idle == 0 {
 			return false
 		}
 		_, err := c.reader.Peek(1)
 		c.mu.Lock()
 		c.mu.reading = err == nil
-		busy, stopping := c.mu.queue.Len() > 0, c.mu.stopping
+		c.updateWaiting()
+		busy, stopping, idleSince := c.mu.queue.Len() > 0, c.mu.stopping, c.mu.idleSince
 		c.mu.Unlock()
 		switch {
 		case err == nil:
-			return true
-		case !errors.Is(err, os.ErrDeadlineExceeded) || !busy:
+			return c.awaitRoom()
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			c.abort()
+			return false
+		case !busy && (stopping || time.Since(idleSince) >= idle):
 			c.abort()
 			return false
 		case stopping:
 			return false
 		}
-		// The idle timeout passed, but the connection isn't idle while requests are in flight.
+		// The deadline passed, but the connection isn't idle while requests are in flight, nor for
+		// the idle timeout after the last response.
 	}
 }
 
-// awaitRoom waits until the queue has room, and starts the idle timeout. It returns false
-// if no further request is to be read.
-func (c *conn) awaitRoom() bool {
-	idle := c.server.handler.Limits().IdleTimeout
-	if idle <= 0 {
-		idle = defaultIdleTimeout
-	}
+// startIdle sets the deadline of the idle timeout, which begins with the last response, and returns
+// the timeout, or 0 if no further request is to be read.
+func (c *conn) startIdle() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.mu.aborted && !c.mu.queue.HasRoom() && !c.mu.queue.IsClosed() {
-		c.mu.changed.Wait()
-	}
 	if c.mu.aborted || c.mu.queue.IsClosed() {
-		return false
+		return 0
 	}
+	idle := c.idleTimeout()
 	if !c.mu.stopping {
-		_ = c.socket.SetReadDeadline(time.Now().Add(idle)) // fails only on a closed socket, as does the next read
+		since := c.mu.idleSince
+		if c.mu.queue.Len() > 0 || since.IsZero() {
+			since = time.Now()
+			c.mu.idleSince = since
+		}
+		_ = c.socket.SetReadDeadline(since.Add(idle)) // fails only on a closed socket, as does the next read
+	}
+	return idle
+}
+
+func (c *conn) idleTimeout() time.Duration {
+	if idle := c.server.handler.Limits().IdleTimeout; idle > 0 {
+		return idle
 	}
-	return true
+	return defaultIdleTimeout
+}
+
+// awaitRoom waits until the queue has room. It returns false if no further request is to be read.
+func (c *conn) awaitRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.mu.aborted && !c.mu.queue.HasRoom() && !c.mu.queue.IsClosed() {
+		c.mu.changed.Wait()
+	}
+	return !c.mu.aborted && !c.mu.queue.IsClosed()
 }
 
 // readRequest reads a request and adds it to the queue. It returns false if it was the
@@ -155,21 +188,27 @@
 	}
 	arrived := c.server.now()
 	_ = c.socket.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed socket
-	head, reader, err := readHead(c.reader, maxHead)
+	head, reader, err := readHeadIn(c.reader, maxHead, c.takeHead)
 	c.reader = reader
+	if err == nil && !c.account.Take(int64(requestBytes(head))) {
+		err = errBufferFull
+	}
 	if err != nil {
 		c.refuse(&exchange{}, err)
 		return false
 	}
+	counted := requestBytes(head)
 	x := &exchange{outgoing: outgoing{method: head.Method, http10: !head.ProtoAtLeast(1, 1), closes: head.Close}}
 	fields, err := c.server.dialect.ReadRequest(head.Header)
 	x.outgoing.requestID = fields.RequestID
 	if err != nil {
+		c.account.Release(int64(counted))
 		c.refuse(x, err)
 		return false
 	}
-	body, err := c.readBody(head, &fields, arrived, limits.BodyBytes)
+	body, rest, taken, err := c.readBody(head, &fields, arrived, limits.BodyBytes)
 	if err != nil {
+		c.account.Release(int64(counted) + taken)
 		c.refuse(x, err)
 		return false
 	}
@@ -177,32 +216,24 @@
 	path, _, _ := strings.Cut(uri, "?")
 	x.request = &Request{
 		Fields: fields, Method: head.Method, URI: uri, Path: path, Host: head.Host,
-		Header: EndToEndFields(head.Header, c.server.dialect.SetsField), Body: body, ArrivedAt: arrived,
+		Header: EndToEndFields(head.Header, c.server.dialect.SetsField), Body: body, Rest: rest, ArrivedAt: arrived,
 	}
-	return c.enqueue(x)
+	c.shrinkReader()
+	return c.enqueue(x, counted+int(taken))
 }
 
-// errBufferFull means that the server's bound on buffered bytes is reached.
-var errBufferFull = errors.New("no room for the body of the request")
-
-// readBody reads the body. Its bytes count as buffered until the response is written.
-func (c *conn) readBody(head *http.Request, fields *Fields, arrived time.Time, limit int64) ([]byte, error) {
+// readBody reads the body. The bytes that were taken for it from the account are held until the
+// response is written.
+func (c *conn) readBody(head *http.Request, fields *Fields, arrived time.Time, limit int64) (first []byte, rest [][]byte, taken int64, err error) {
 	if head.ContentLength == 0 {
-		return nil, nil
+		return nil, nil, 0, nil
 	}
-	maxBytes := min(int64(maxBodyBytes), c.server.maxBuffered)
+	maxBytes := int64(maxBodyBytes)
 	if limit > 0 {
 		maxBytes = min(maxBytes, limit)
 	}
-	if head.ContentLength > maxBytes {
-		return nil, errBodyTooLarge
-	}
-	expected := head.ContentLength
-	if expected < 0 {
-		expected = unknownLengthBytes
-	}
-	if !c.server.reserve(expected) {
-		return nil, errBufferFull
+	if head.ContentLength > maxBytes || head.ContentLength > c.server.budget.MaxBytes() {
+		return nil, nil, 0, errBodyTooLarge
 	}
 	timeout := defaultBodyTimeout
 	if fields.HasDeadline {
@@ -212,13 +243,14 @@
 	if expectsContinue(head) {
 		c.writeContinue()
 	}
-	body, err := readBody(head, maxBytes)
-	c.server.buffered.Add(int64(len(body)) - expected)
-	if err != nil {
-		c.server.release(len(body))
-		return nil, err
+	first, rest, taken, err = memory.ReadBody(head.Body, head.ContentLength, maxBytes, c.takePart)
+	switch {
+	case errors.Is(err, memory.ErrTooLong):
+		err = errBodyTooLarge
+	case errors.Is(err, memory.ErrNoRoom):
+		err = errBufferFull
 	}
-	return body, nil
+	return first, rest, taken, errors.Wrap(err, "body of the request")
 }
 
 // writeContinue asks the caller for the body, once the responses ahead are written.
@@ -241,6 +273,7 @@
 	case errors.Is(err, errBodyTooLarge):
 		response.Status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errBufferFull):
+		c.closed(CauseNoRoom, memory.Eviction{})
 		response.Status, response.RetryAfter = http.StatusServiceUnavailable, bufferFullRetryAfter
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		response.Status = http.StatusRequestTimeout
@@ -273,20 +306,22 @@
 
 // enqueue adds a request to the queue and starts it if it may start now. It reports
 // whether more requests are to be read.
-func (c *conn) enqueue(x *exchange) (more bool) {
+// bytes are what was taken for the request from the account.
+func (c *conn) enqueue(x *exchange, bytes int) (more bool) {
 	idempotent := c.server.handler.IsIdempotent(x.request)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.mu.reading, c.mu.unused = false, false
 	c.mu.pipelined = c.mu.pipelined || c.mu.queue.Len() > 0
 	x.request.Awaited = c.mu.pipelined
-	entry := c.mu.queue.Add(x, idempotent, x.outgoing.closes || c.mu.stopping, len(x.request.Body))
+	entry := c.mu.queue.Add(x, idempotent, x.outgoing.closes || c.mu.stopping, bytes)
 	if entry == nil {
-		c.server.release(len(x.request.Body))
+		c.account.Release(int64(bytes))
 		return false // the queue was closed while the request was read
 	}
 	c.server.inFlight.Add(1)
 	c.startNext()
+	c.updateWaiting()
 	return !c.mu.queue.IsClosed()
 }
 
@@ -322,70 +357,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.mu.aborted {
-		c.server.release(entry.Bytes())
+		c.account.Release(int64(entry.Bytes()))
+		response.Lease.Release()
 		return
 	}
-	c.server.buffered.Add(int64(len(response.Body)))
-	c.mu.queue.Done(entry, len(response.Body))
+	c.mu.queue.Done(entry, c.takeResponse(response))
 	if c.mu.writing {
 		return
 	}
 	c.mu.writing = true
+	c.updateWaiting()
 	for next := c.mu.queue.Ready(); next != nil; next = c.mu.queue.Ready() {
 		if !c.send(next) {
 			break
 		}
 	}
 	c.mu.writing = false
+	c.mu.idleSince = time.Now()
+	c.updateWaiting()
 	c.mu.changed.Broadcast()
 }
 
-// send writes the response to the first request in the queue. The caller holds the lock,
-// which is released during the write. It returns false if nothing more is to be written
-// on the connection.
-func (c *conn) send(entry *pipeline.Entry[*exchange]) bool {
-	r := entry.Value.outgoing
-	r.closes = entry.Closes
-	c.mu.Unlock()
-	err := c.write(&r)
-	c.mu.Lock()
-	if c.mu.aborted {
-		return false
-	}
-	c.server.release(entry.Bytes())
-	c.mu.queue.Sent()
-	if err != nil {
-		c.mu.Unlock()
-		c.abort()
-		c.mu.Lock()
-		return false
-	}
-	if entry.Closes {
-		c.closeWrite()
-		return false
-	}
-	c.startNext()
-	c.mu.changed.Broadcast()
-	return true
-}
-
-// write writes a whole response. A panic ends the connection only, not the process.
-func (c *conn) write(r *outgoing) (err error) {
-	err = errNotWritten
-	defer c.recoverPanic("response to a caller")
-	w := c.server.writers.Get().(*bufio.Writer)
-	w.Reset(c.socket)
-	defer func() {
-		w.Reset(nil)
-		c.server.writers.Put(w)
-	}()
-	if err := c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	r.writeTo(w, c.server.dialect, c.server.now())
-	return w.Flush()
-}
-
 // closeWrite shuts down the sending side of the connection. The caller holds the lock.
 func (c *conn) closeWrite() {
 	if closer, ok := c.socket.(interface{ CloseWrite() error }); ok {
@@ -453,7 +445,8 @@
 		return
 	}
 	c.mu.aborted = true
-	waiting := c.mu.queue.Abandon()
-	c.server.release(waiting)
+	unstarted, waiting := c.mu.queue.Abandon()
+	c.server.inFlight.Add(-int64(unstarted))
+	c.account.Release(int64(waiting))
 	c.mu.changed.Broadcast()
 }
--- a/node/ingress/head.go
+++ b/node/ingress/head.go
@@ -18,7 +18,9 @@
 	errAmbiguousLength = errors.New("head of the request: states its length in two ways")
 	errHostCount       = errors.New("head of the request: not exactly one Host")
 	errInvalidByte     = errors.New("head of the request: a byte that may not stand there")
-	errInvalidField    = errors.New("head of the request: a field without a proper name")
+	// errBufferFull means that the memory account has no room.
+	errBufferFull   = errors.New("no room for the request")
+	errInvalidField = errors.New("head of the request: a field without a proper name")
 )
 
 var endOfHead = []byte("\r\n\r\n")
@@ -26,6 +28,12 @@
 // readHead waits for the whole head of a request and parses it. The returned reader
 // replaces the one passed in, since a long head needs a larger buffer.
 func readHead(reader *bufio.Reader, maxBytes int) (*http.Request, *bufio.Reader, error) {
+	return readHeadIn(reader, maxBytes, func(int) bool { return true })
+}
+
+// readHeadIn is like readHead. room is called before the buffer grows by that many bytes, and
+// returns false if there is no room for them.
+func readHeadIn(reader *bufio.Reader, maxBytes int, room func(bytes int) bool) (*http.Request, *bufio.Reader, error) {
 	checked := 0 // bytes that don't contain endOfHead
 	for {
 		buffered, _ := reader.Peek(reader.Buffered()) // returns the buffered bytes without reading
@@ -49,7 +57,11 @@
 			return nil, reader, errHeadTooLong
 		}
 		if len(buffered) == reader.Size() {
-			reader = bufio.NewReaderSize(reader, min(2*reader.Size(), maxBytes+len(endOfHead)))
+			size := min(2*reader.Size(), maxBytes+len(endOfHead))
+			if !room(size) {
+				return nil, reader, errBufferFull
+			}
+			reader = bufio.NewReaderSize(reader, size)
 		}
 		if _, err := reader.Peek(len(buffered) + 1); err != nil {
 			return nil, reader, err
--- a/node/ingress/head_test.go
+++ b/node/ingress/head_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/gypsumford/gypsumford/node/memory"
+
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -67,11 +69,12 @@
 		if err != nil {
 			return
 		}
-		body, err := readBody(request, 1<<16)
+		first, rest, _, err := memory.ReadBody(request.Body, request.ContentLength, 1<<16, func(int64) bool { return true })
 		if err != nil {
 			return
 		}
 		_ = reader
+		body := memory.Join(first, rest)
 		var out bytes.Buffer
 		out.WriteString(request.Method + " " + requestURI(request) + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 		header := EndToEndFields(request.Header, func(string) bool { return false })
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -19,6 +19,8 @@
 	"net/textproto"
 	"strings"
 	"time"
+
+	"github.com/gypsumford/gypsumford/node/memory"
 )
 
 // Fields holds what the header of a request states about it.
@@ -49,6 +51,7 @@
 	Host      string
 	Header    []string // alternating names and values, to be forwarded
 	Body      []byte
+	Rest      [][]byte  // parts of a long body that follow Body
 	ArrivedAt time.Time // when the server began to read it
 	// Awaited is set if the caller pipelines requests on the connection, so that later
 	// responses wait for this one.
@@ -61,6 +64,8 @@
 	FromNode   bool     // made by the node rather than by a target
 	Header     []string // alternating names and values
 	Body       []byte
+	Rest       [][]byte      // parts of a long body that follow Body
+	Lease      *memory.Lease // of the memory of a long body; nil if it is not counted yet
 	RetryAfter time.Duration // of a refusal; 0 if not stated
 }
 
--- a/node/ingress/server.go
+++ b/node/ingress/server.go
@@ -9,17 +9,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/node/memory"
 )
 
 const (
-	// bufferedShare is the fraction of the process's memory limit that buffered requests
-	// and responses may use.
-	bufferedShare = 0.3
-	// defaultBufferedBytes bounds the buffered bytes if the process has no memory limit, or
-	// a large one.
-	defaultBufferedBytes = 96 << 20
 	// bufferFullRetryAfter is the retry-after delay stated to callers whose requests are
-	// refused because the bound on buffered bytes is reached.
+	// refused because the memory account has no room.
 	bufferFullRetryAfter = 500 * time.Millisecond
 
 	minAcceptPause = 5 * time.Millisecond // after a failed accept, doubled each time
@@ -41,10 +37,12 @@
 	// OnUnexpected is called with errors that the caller didn't cause: a panic while a
 	// connection or a request was served, or a failed accept.
 	OnUnexpected func(where string, err error)
-	maxBuffered  int64        // bytes
-	buffered     atomic.Int64 // bytes of requests and responses
-	inFlight     atomic.Int64 // requests without a response yet
-	writers      sync.Pool
+	// OnClosed is called when a client's connection is refused or closed to bound what clients
+	// hold.
+	OnClosed func(c Closed)
+	budget   *memory.Budget
+	inFlight atomic.Int64 // requests without a response yet
+	writers  sync.Pool
 
 	mu struct {
 		sync.Mutex
@@ -57,16 +55,17 @@
 // NewServer returns a server that passes requests to the handler. memoryBytes is the
 // memory limit of the process, 0 if there is none.
 func NewServer(dialect Dialect, handler Handler, memoryBytes int64, now func() time.Time) *Server {
-	s := &Server{dialect: dialect, handler: handler, now: now, maxBuffered: defaultBufferedBytes}
-	if memoryBytes > 0 {
-		s.maxBuffered = min(s.maxBuffered, int64(bufferedShare*float64(memoryBytes)))
-	}
+	s := &Server{dialect: dialect, handler: handler, now: now, budget: memory.NewBudget(memoryBytes, 0, now)}
 	s.OnUnexpected = func(string, error) {}
+	s.OnClosed = func(Closed) {}
 	s.writers.New = func() any { return bufio.NewWriterSize(nil, bufferBytes) }
 	s.mu.conns = map[*conn]struct{}{}
 	return s
 }
 
+// UseBudget replaces the server's own memory account. It is called before Serve.
+func (s *Server) UseBudget(b *memory.Budget) { s.budget = b }
+
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
@@ -94,6 +93,11 @@
 
 func (s *Server) accept(socket net.Conn) {
 	c := newConn(s, socket)
+	if c.account == nil {
+		s.OnClosed(Closed{Client: socket.RemoteAddr().String(), Cause: CauseNoRoom})
+		_ = socket.Close() // nothing was read from it
+		return
+	}
 	s.mu.Lock()
 	s.mu.conns[c] = struct{}{}
 	stopping := s.mu.stopping
@@ -167,15 +171,3 @@
 		c.abort()
 	}
 }
-
-// reserve counts bytes as buffered. It returns false, and counts nothing, if the bound
-// would be exceeded.
-func (s *Server) reserve(bytes int64) bool {
-	if s.buffered.Add(bytes) <= s.maxBuffered {
-		return true
-	}
-	s.buffered.Add(-bytes)
-	return false
-}
-
-func (s *Server) release(bytes int) { s.buffered.Add(-int64(bytes)) }
--- a/node/ingress/server_test.go
+++ b/node/ingress/server_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/node/memory"
 )
 
 // patience is how long a test waits for an event before it fails.
@@ -218,21 +220,60 @@
 		_ = c.Close()
 		So(<-f.cancelled, ShouldEqual, "1")
 	})
-	Convey("A request's bytes count as buffered until its response is written", t, func() {
+	Convey("A request's bytes are held until its response is written, and those of the connection until it ends", t, func() {
 		f := newFixture(t, Limits{})
 		c := f.dial()
 		c.send("POST / HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 4\r\n\r\npaid")
 		So(len(f.nextStarted(1)), ShouldEqual, 1)
-		So(f.server.buffered.Load(), ShouldEqual, 4)
+		request := int64(requestOverheadBytes + 2*(len("/")+len("Id")+len("1")+48+len("Content-Length")+len("4")+48))
+		So(f.server.budget.Used(), ShouldEqual, memory.ConnectionBytes+request+4)
 		f.release("1")
 		c.readResponse()
-		for deadline := time.Now().Add(patience); f.server.buffered.Load() != 0 && time.Now().Before(deadline); {
-			time.Sleep(time.Millisecond)
+		So(f.holds(memory.ConnectionBytes), ShouldBeTrue)
+		_ = c.Close()
+		So(f.holds(0), ShouldBeTrue)
+	})
+	Convey("Requests that never start are counted off when the connection breaks", t, func() {
+		f := newFixture(t, Limits{})
+		c := f.dial()
+		for _, id := range []string{"1", "2", "3"} {
+			c.send("POST / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nContent-Length: 4\r\n\r\npaid")
+		}
+		So(f.nextStarted(1), ShouldResemble, map[string]bool{"1": true})
+		So(eventually(func() bool { return f.server.InFlight() == 3 }), ShouldBeTrue)
+		_ = c.Close()
+		So(f.holds(0), ShouldBeTrue)
+		So(eventually(func() bool { return f.server.InFlight() == 0 }), ShouldBeTrue)
+	})
+	Convey("A caller that disconnects is noticed though its request has a long body", t, func() {
+		f := newFixture(t, Limits{})
+		c := f.dial()
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", 2_000_000))
+		So(len(f.nextStarted(1)), ShouldEqual, 1)
+		_ = c.Close()
+		select {
+		case id := <-f.cancelled:
+			So(id, ShouldEqual, "1")
+		case <-time.After(patience):
+			So("the request", ShouldEqual, "cancelled")
 		}
-		So(f.server.buffered.Load(), ShouldEqual, 0)
 	})
 }
 
+// holds waits until that many bytes are held, and reports whether they are.
+func (f *fixture) holds(bytes int64) bool {
+	return eventually(func() bool { return f.server.budget.Used() == bytes })
+}
+
+func eventually(condition func() bool) bool {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
+
 func TestEndOfAConnection(t *testing.T) {
 	Convey("No request after one with Connection: close is handled", t, func() {
 		f := newFixture(t, Limits{})
@@ -287,6 +328,19 @@
 		So(closes, ShouldBeFalse)
 		So(c.isClosed(), ShouldBeTrue)
 	})
+	Convey("The idle timeout starts with the last response", t, func() {
+		f := newFixture(t, Limits{IdleTimeout: 400 * time.Millisecond})
+		c := f.dial()
+		c.get("1")
+		So(len(f.nextStarted(1)), ShouldEqual, 1)
+		time.Sleep(300 * time.Millisecond)
+		f.release("1")
+		status, _, _ := c.readResponse()
+		So(status, ShouldEqual, 200)
+		answered := time.Now()
+		So(c.isClosed(), ShouldBeTrue)
+		So(time.Since(answered), ShouldBeGreaterThan, 350*time.Millisecond)
+	})
 	Convey("A panic fails its own request only", t, func() {
 		f := newFixture(t, Limits{})
 		c := f.dial()
--- a/node/ingress/write.go
+++ b/node/ingress/write.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/gypsumford/gypsumford/node/memory"
 )
 
 // lineBreakReplacer replaces line breaks, which would end a header field early.
@@ -59,11 +61,14 @@
 		return
 	}
 	if r.method != http.MethodHead {
-		write("Content-Length: ", strconv.Itoa(len(r.Body)), "\r\n")
+		write("Content-Length: ", strconv.Itoa(memory.Size(r.Body, r.Rest)), "\r\n")
 	}
 	write("\r\n")
 	if r.method != http.MethodHead {
 		_, _ = w.Write(r.Body) // Flush returns the error
+		for _, part := range r.Rest {
+			_, _ = w.Write(part)
+		}
 	}
 }
 
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/gypsumford/gypsumford/epoch"
+	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -68,10 +69,13 @@
 // outgoing is a frame that waits to be written. A call or a reply is encoded only
 // then, since symbols are defined in the order of writing.
 type outgoing struct {
-	frame   frame
-	call    *Call
-	reply   *Reply
-	pending *pendingCall // set with call
+	frame frame
+	call  *Call
+	reply *Reply
+	// pending is set with call, and with the last part of its body. Once that is written, the call
+	// may run.
+	pending *pendingCall
+	written chan<- struct{} // receives when the frame was written; nil if nobody waits
 }
 
 // pendingCall is a call that waits for its reply.
@@ -91,6 +95,11 @@
 	closeOnce   sync.Once
 	received    atomic.Bool   // a frame was received since the last tick
 	peerVersion atomic.Uint64 // configuration version that the peer reported last
+	budget      *memory.Budget
+	receiving   map[bodyKey]*receivedBody // used by the reading goroutine only
+	greeted     chan struct{}             // closed by the peer's first Hello
+	// peerTakesParts is set if the peer takes long bodies in parts, as older builds don't.
+	peerTakesParts atomic.Bool
 
 	mu struct {
 		sync.Mutex
@@ -104,8 +113,11 @@
 	}
 }
 
-func newConn(node Node, socket net.Conn) *conn {
-	c := &conn{node: node, socket: socket, queue: make(chan outgoing, writeQueueFrames), closed: make(chan struct{})}
+func newConn(node Node, socket net.Conn, budget *memory.Budget) *conn {
+	c := &conn{
+		node: node, socket: socket, queue: make(chan outgoing, writeQueueFrames), closed: make(chan struct{}),
+		budget: budget, receiving: map[bodyKey]*receivedBody{}, greeted: make(chan struct{}),
+	}
 	c.mu.pending = map[uint64]*pendingCall{}
 	c.mu.serving = map[uint64]context.CancelFunc{}
 	return c
@@ -178,16 +190,21 @@
 	for {
 		switch {
 		case o.call != nil:
-			o.pending.written.Store(true)
 			o.frame.Call = symbols.call(o.call)
 		case o.reply != nil:
 			o.frame.Reply = symbols.reply(o.reply)
 		}
+		if o.pending != nil && (o.call == nil || len(o.call.Rest) == 0) {
+			o.pending.written.Store(true)
+		}
 		o.frame.Symbols = symbols.takeDefined()
 		o.frame.Version = c.node.Version()
 		if err := encoder.Encode(&o.frame); err != nil {
 			return err
 		}
+		if o.written != nil {
+			o.written <- struct{}{} // has room, as it holds as many as may wait
+		}
 		select {
 		case o = <-c.queue:
 		default:
@@ -200,6 +217,7 @@
 // handled ends it.
 func (c *conn) read() {
 	defer c.recoverPanic("connection with a peer")
+	defer c.dropBodies()
 	var symbols symbolDecoder
 	decoder := gob.NewDecoder(bufio.NewReaderSize(c.socket, bufferBytes))
 	for {
@@ -222,15 +240,20 @@
 	switch {
 	case f.Call != nil:
 		if call := symbols.call(f.Call); call != nil {
-			c.serve(f.ID, call)
+			c.receiveCall(f.ID, call, f.Call.Rest)
 		}
 	case f.Reply != nil:
-		c.finish(f.ID, symbols.reply(f.Reply))
+		c.receiveReply(f.ID, symbols.reply(f.Reply), f.Reply.Rest)
+	case f.Part != nil:
+		c.receivePart(f.ID, f.Part)
 	case f.Cancel:
-		c.cancel(f.ID)
+		if !c.dropBody(f.ID) {
+			c.cancel(f.ID)
+		}
 	case f.Ping:
 		c.send(outgoing{frame: frame{Pong: true}})
 	case f.Hello != nil:
+		c.receiveGreeting(f.Hello)
 		c.node.ReceiveStoreEpoch(f.Hello.StoreEpoch)
 		c.node.ReceiveRecord(f.Hello.Record)
 	case f.Pull:
@@ -269,12 +292,14 @@
 	c.mu.pulls = nil
 }
 
-func (c *conn) serve(id uint64, call *Call) {
+// serve runs a call. The lease is of the memory of its body.
+func (c *conn) serve(id uint64, call *Call, lease *memory.Lease) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.mu.Lock()
 	if c.mu.ended {
 		c.mu.Unlock()
 		cancel()
+		lease.Release()
 		return
 	}
 	c.mu.serving[id] = cancel
@@ -282,11 +307,12 @@
 	c.mu.Unlock()
 	go func() {
 		reply := c.serveSafely(ctx, call)
+		lease.Release()
+		c.sendReply(ctx, id, reply)
 		c.mu.Lock()
 		delete(c.mu.serving, id)
 		c.mu.Unlock()
 		cancel()
-		c.send(outgoing{frame: frame{ID: id}, reply: reply})
 	}()
 }
 
@@ -330,6 +356,11 @@
 // context.
 func (c *conn) do(ctx context.Context, call *Call) (*Reply, error) {
 	p := &pendingCall{done: make(chan struct{})}
+	if len(call.Rest) > 0 && !c.takesParts(ctx) {
+		joined := *call
+		joined.Body, joined.Rest = memory.Join(call.Body, call.Rest), nil
+		call = &joined
+	}
 	c.mu.Lock()
 	if c.mu.ended {
 		c.mu.Unlock()
@@ -341,9 +372,17 @@
 	c.mu.idleTicks = 0
 	c.mu.Unlock()
 	if !c.send(outgoing{frame: frame{ID: id}, call: call, pending: p}) {
-		c.mu.Lock()
-		delete(c.mu.pending, id)
-		c.mu.Unlock()
+		c.forget(id)
+		return nil, ErrNotSent
+	}
+	whole := c.sendParts(ctx, id, call.Rest, p, p.done)
+	select {
+	case <-p.done:
+		return p.reply, p.err
+	default:
+	}
+	if !whole && ctx.Err() == nil && !c.isClosed() {
+		c.abandon(id) // the queue is full, and the peer can't run a call without all parts
 		return nil, ErrNotSent
 	}
 	select {
@@ -351,11 +390,29 @@
 		return p.reply, p.err
 	case <-ctx.Done():
 	}
+	c.abandon(id)
+	return nil, ctx.Err()
+}
+
+func (c *conn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// abandon gives up a call that was sent at least in part.
+func (c *conn) abandon(id uint64) {
+	c.forget(id)
+	c.send(outgoing{frame: frame{ID: id, Cancel: true}})
+}
+
+func (c *conn) forget(id uint64) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.mu.pending, id)
-	c.mu.Unlock()
-	c.send(outgoing{frame: frame{ID: id, Cancel: true}})
-	return nil, ctx.Err()
 }
 
 // tick probes the peer, or closes the connection, if no frame was received for some
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/epoch"
+	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -20,6 +21,7 @@
 	Host          string
 	Header        []string // alternating names and values
 	Body          []byte
+	Rest          [][]byte      // parts of a long body that follow Body
 	RemainingTime time.Duration // until the deadline
 	CallerService string        // service of the entry node's target
 	// Priority, Rank and Awaited are those of the root request that the call belongs to.
@@ -81,11 +83,13 @@
 	// ReasonQuarantined means that the request is suspected to crash targets, and that the
 	// local target doesn't run it, or not now.
 	ReasonQuarantined
+	// ReasonNoMemory means that a node had no memory for the body of the call or the response.
+	ReasonNoMemory
 )
 
 var reasonNames = [...]string{
 	"none", "target-changed", "draining", "busy", "too-late", "unreachable", "broken", "cancelled", "refused",
-	"rate-limited", "crashed", "quarantined",
+	"rate-limited", "crashed", "quarantined", "no-memory",
 }
 
 // String returns the reason's name.
@@ -121,6 +125,8 @@
 	Status   int
 	Header   []string // alternating names and values
 	Body     []byte
+	Rest     [][]byte      // parts of a long body that follow Body
+	Lease    *memory.Lease // of the memory of a long body, nil for a short one
 	Load     Load
 	Views    []ServiceView
 	Origin   callgraph.Origin // who sends requests of the route
@@ -153,6 +159,7 @@
 type Hello struct {
 	Record     roster.Record
 	StoreEpoch epoch.ID // of the platform's store, as the sender knows it
+	TakesParts bool     // the sender takes long bodies in parts
 }
 
 // State is the reply to a pull.
--- a/node/link/pool.go
+++ b/node/link/pool.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/roster"
 )
 
@@ -30,7 +31,10 @@
 	// gossipFanout is how many peers a node sends a newer record to. Each of them
 	// passes it on to as many: with 4, it reaches 98 in 100 nodes. The others get it
 	// from the store.
-	gossipFanout   = 4
+	gossipFanout = 4
+	// minAcceptPause is the pause after a failed accept, doubled each time up to maxAcceptPause.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 500 * time.Millisecond
 	idleCloseTicks = 240 // ticks without a call until a connection is closed, 60 s
 	// tcpUserTimeout ends a connection whose sent bytes stay unacknowledged that long.
 	tcpUserTimeout = 2 * time.Second
@@ -38,8 +42,9 @@
 
 // Pool holds the connections to peers, and those that peers opened.
 type Pool struct {
-	node Node
-	now  func() time.Time
+	node   Node
+	now    func() time.Time
+	budget *memory.Budget
 
 	mu struct {
 		sync.Mutex
@@ -62,12 +67,15 @@
 
 // NewPool returns a pool without connections.
 func NewPool(node Node, now func() time.Time) *Pool {
-	p := &Pool{node: node, now: now}
+	p := &Pool{node: node, now: now, budget: memory.NewBudget(0, 0, now)}
 	p.mu.peers = map[string]*peer{}
 	p.mu.inbound = map[*conn]struct{}{}
 	return p
 }
 
+// UseBudget replaces the pool's own memory account. It is called before the first connection.
+func (p *Pool) UseBudget(b *memory.Budget) { p.budget = b }
+
 // Do sends the call to the node at the address. The error is ErrNotSent,
 // ErrLost or that of the context.
 func (p *Pool) Do(ctx context.Context, address string, call *Call) (*Reply, error) {
@@ -116,7 +124,7 @@
 		}
 		return nil, errors.Mark(errors.Wrapf(err, "connect to peer %s", address), ErrNotSent)
 	}
-	c := newConn(p.node, socket)
+	c := newConn(p.node, socket, p.budget)
 	r.mu.conn, r.mu.redialDelay = c, 0
 	c.send(outgoing{frame: frame{Hello: p.hello(p.node.Record())}})
 	if stated, ok := p.node.StatedBeside(address); ok {
@@ -169,22 +177,28 @@
 	_, _ = r.dial(ctx, p, address) // each failure increases the delay
 }
 
-// Serve accepts connections from peers until the listener is closed.
+// Serve accepts connections from peers until the listener is closed. It waits and tries again after
+// any other error, such as a lack of descriptors, which others use and may give back.
 func (p *Pool) Serve(listener net.Listener) error {
+	pause := minAcceptPause
 	for {
 		socket, err := listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return errors.Wrap(err, "accept a connection from a peer")
+		switch {
+		case err == nil:
+			pause = minAcceptPause
+			p.accept(socket)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			p.node.LogUnexpected("accept a connection from a peer", err)
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
 		}
-		p.accept(socket)
 	}
 }
 
 func (p *Pool) accept(socket net.Conn) {
-	c := newConn(p.node, socket)
+	c := newConn(p.node, socket, p.budget)
 	p.mu.Lock()
 	p.mu.inbound[c] = struct{}{}
 	p.mu.Unlock()
@@ -198,7 +212,7 @@
 }
 
 func (p *Pool) hello(r roster.Record) *Hello {
-	return &Hello{Record: r, StoreEpoch: p.node.StoreEpoch()}
+	return &Hello{Record: r, StoreEpoch: p.node.StoreEpoch(), TakesParts: true}
 }
 
 // Pull asks the node at the address for its state, and returns when this node has received
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumford/gypsumford/callgraph"
+	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/route"
 )
 
@@ -32,6 +33,7 @@
 	Hello   *Hello
 	Pull    bool
 	State   *State
+	Part    *wirePart // sent only to peers whose Hello states that they take parts
 }
 
 type wireCall struct {
@@ -40,6 +42,7 @@
 	URI       string
 	Header    []text
 	Body      []byte
+	Rest      int64  // bytes of the body that follow in parts
 	TimeLeft  uint32 // remaining time, in timeLeftUnit
 	Priority  int
 	Rank      uint8
@@ -53,6 +56,7 @@
 	Status   int
 	Header   []text
 	Body     []byte
+	Rest     int64 // bytes of the body that follow in parts
 	Load     Load
 	Views    []wireView
 	Origin   callgraph.Origin
@@ -72,7 +76,7 @@
 func (e *symbolEncoder) call(c *Call) *wireCall {
 	return &wireCall{
 		Envelope: e.text(joinEnvelope(c)), RequestID: c.RequestID, URI: c.URI,
-		Header: e.fields(sortFields(c.Header)), Body: c.Body,
+		Header: e.fields(sortFields(c.Header)), Body: c.Body, Rest: int64(memory.Size(nil, c.Rest)),
 		TimeLeft: uint32(max(c.RemainingTime/remainingTimeUnit, 0)), Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited,
 	}
 }
@@ -92,7 +96,7 @@
 func (e *symbolEncoder) reply(r *Reply) *wireReply {
 	w := &wireReply{
 		Outcome: r.Outcome, Reason: r.Reason, Arrived: r.Arrived, Status: r.Status,
-		Header: e.fields(sortFields(r.Header)), Body: r.Body, Load: r.Load,
+		Header: e.fields(sortFields(r.Header)), Body: r.Body, Rest: int64(memory.Size(nil, r.Rest)), Load: r.Load,
 		Origin: r.Origin, Duration: uint32(max(r.Duration/costUnit, 0)), Stated: r.Stated,
 	}
 	for _, v := range r.Views {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -28,6 +28,7 @@
 	targetCalls    expvar.Map // calls for the local target, by outcome and reason
 	targetEnds     expvar.Map // ends of the local target's process, planned or by a crash
 	quarantine     expvar.Map // requests that became suspects, were quarantined or released, by new status
+	closedClients  expvar.Map // connections of clients that were closed or refused to bound what they hold, by cause
 	storeFailures  expvar.Map // failed calls to the store, by dependency
 	storeEpochs    expvar.Map // what responses of the store showed about its epoch, by finding
 	requestLatency histogram  // from the arrival of a request to its end
@@ -45,7 +46,7 @@
 
 func newMetrics() *metrics {
 	m := &metrics{gauges: map[string]func() int64{}}
-	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.storeFailures, &m.storeEpochs} {
+	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.closedClients, &m.storeFailures, &m.storeEpochs} {
 		variable.Init()
 	}
 	m.requestLatency.init()
@@ -83,6 +84,7 @@
 	variable("target_calls", &m.targetCalls)
 	variable("target_ends", &m.targetEnds)
 	variable("quarantine_changes", &m.quarantine)
+	variable("clients_closed", &m.closedClients)
 	variable("store_failures", &m.storeFailures)
 	variable("store_epochs", &m.storeEpochs)
 	variable("request_latency_us", &m.requestLatency)
--- a/node/node.go
+++ b/node/node.go
@@ -188,6 +188,7 @@
 	}
 	n.ingress = ingress.NewServer(p.Dialect, n.dispatcher, s.MemoryBytes, n.now)
 	n.ingress.OnUnexpected = n.log.unexpectedError
+	n.shareMemory()
 	n.mu.record = roster.Record{
 		Instance: s.Name, Incarnation: time.Now().UnixMilli(), Address: s.advertised(), Domain: s.Domain,
 	}
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -72,7 +72,7 @@
 		return candidates, false
 	}
 	if !r.hasFingerprint {
-		r.fingerprint = quarantine.FingerprintOf(&quarantine.Request{Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body})
+		r.fingerprint = quarantine.FingerprintOfParts(&quarantine.Request{Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body}, r.Rest)
 		r.hasFingerprint = true
 	}
 	r.placement, _ = d.tables.placeAmong(d.now(), r.fingerprint, r.service, candidates)
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -106,14 +106,18 @@
 	q.entries = q.entries[1:]
 }
 
-// Abandon empties and closes the queue after its connection has broken. It returns the
-// bytes of the requests that had a response, and of these responses.
-func (q *Queue[T]) Abandon() (bytes int) {
+// Abandon empties and closes the queue after its connection has broken. It returns the number of
+// requests that have not started, and the bytes of these, of the requests that had a response, and
+// of these responses. The requests that run are counted off when they end.
+func (q *Queue[T]) Abandon() (unstarted, bytes int) {
 	for _, entry := range q.entries {
-		if entry.done {
+		if !entry.started && !entry.done {
+			unstarted++
+			bytes += entry.bytes
+		} else if entry.done {
 			bytes += entry.bytes
 		}
 	}
 	q.entries, q.bytes, q.closed = nil, 0, true
-	return bytes
+	return unstarted, bytes
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -26,14 +26,25 @@
 }
 
 // FingerprintOf returns the fingerprint of a request.
-func FingerprintOf(r *Request) Fingerprint {
+func FingerprintOf(r *Request) Fingerprint { return FingerprintOfParts(r, nil) }
+
+// FingerprintOfParts returns the fingerprint of a request with a long body, whose parts after
+// r.Body are rest. It is the one that the request with the whole body in one piece has.
+func FingerprintOfParts(r *Request, rest [][]byte) Fingerprint {
 	digest := sha256.New()
 	for _, part := range [...]string{r.Account, r.Method, strings.ToLower(r.Host), r.URI} {
 		writeLength(digest, len(part))
 		_, _ = digest.Write([]byte(part)) // a hash returns no error
 	}
-	writeLength(digest, len(r.Body))
+	size := len(r.Body)
+	for _, part := range rest {
+		size += len(part)
+	}
+	writeLength(digest, size)
 	_, _ = digest.Write(r.Body)
+	for _, part := range rest {
+		_, _ = digest.Write(part)
+	}
 	var sum [sha256.Size]byte
 	return Fingerprint(digest.Sum(sum[:0])[:len(Fingerprint{})])
 }
