--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -359,7 +359,7 @@
 		t.mu.balance.Cancelled(now, id, r.route.Name, now.Sub(r.sentAt))
 	case reply.Reason == link.ReasonUnreachable || reply.Reason == link.ReasonTargetChanged:
 		t.mu.balance.Lost(now, id, false)
-	case reply.Reason == link.ReasonQuarantined:
+	case reply.Reason == link.ReasonQuarantined || reply.Reason == link.ReasonNoMemory:
 		t.mu.balance.Cancelled(now, id, r.route.Name, 0) // says nothing about the target
 	case reply.Reason == link.ReasonBroken || reply.Reason == link.ReasonCrashed:
 		t.mu.balance.Lost(now, id, true)
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -357,8 +357,13 @@
 func (c *conn) do(ctx context.Context, call *Call) (*Reply, error) {
 	p := &pendingCall{done: make(chan struct{})}
 	if len(call.Rest) > 0 && !c.takesParts(ctx) {
+		body, lease, ok := c.joinBody(call.Body, call.Rest)
+		if !ok {
+			return &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}, nil
+		}
+		defer lease.Release()
 		joined := *call
-		joined.Body, joined.Rest = memory.Join(call.Body, call.Rest), nil
+		joined.Body, joined.Rest = body, nil
 		call = &joined
 	}
 	c.mu.Lock()
--- a/node/link/parts.go
+++ b/node/link/parts.go
@@ -27,6 +27,7 @@
 type wirePart struct {
 	OfReply bool
 	Data    []byte
+	Broken  bool // no further part follows, and the body stays incomplete
 }
 
 // bodyKey identifies a body that is being received.
@@ -89,6 +90,14 @@
 	if body == nil {
 		return
 	}
+	if part.Broken {
+		delete(c.receiving, key)
+		body.lease.Release()
+		if body.reply != nil {
+			c.finish(id, &Reply{Outcome: OutcomeUnknown, Reason: ReasonBroken, Arrived: true})
+		}
+		return
+	}
 	body.missing -= int64(len(part.Data))
 	if body.call != nil {
 		body.call.Rest = append(body.call.Rest, part.Data)
@@ -183,13 +192,28 @@
 	}
 }
 
+// joinBody returns the body in one piece, for a peer that doesn't take parts, and a lease of the
+// memory of this piece and of its copy in the encoder. It returns false if there is no room.
+func (c *conn) joinBody(first []byte, rest [][]byte) (body []byte, lease *memory.Lease, ok bool) {
+	lease, ok = c.leaseBody(2 * int64(memory.Size(first, rest)))
+	if !ok {
+		return nil, nil, false
+	}
+	return memory.Join(first, rest), lease, true
+}
+
 // sendReply sends a reply with all parts of its body, and then gives back its memory.
 func (c *conn) sendReply(ctx context.Context, id uint64, reply *Reply) {
 	defer reply.Lease.Release()
 	if len(reply.Rest) > 0 && !c.takesParts(ctx) {
-		reply.Body, reply.Rest = memory.Join(reply.Body, reply.Rest), nil
+		body, lease, ok := c.joinBody(reply.Body, reply.Rest)
+		defer lease.Release()
+		if !ok {
+			reply.Outcome, reply.Reason = OutcomeUnknown, ReasonNoMemory
+		}
+		reply.Body, reply.Rest = body, nil
 	}
-	if c.send(outgoing{frame: frame{ID: id}, reply: reply}) {
-		c.sendParts(ctx, id, reply.Rest, nil, nil)
+	if c.send(outgoing{frame: frame{ID: id}, reply: reply}) && !c.sendParts(ctx, id, reply.Rest, nil, nil) {
+		c.send(outgoing{frame: frame{ID: id, Part: &wirePart{OfReply: true, Broken: true}}})
 	}
 }
