--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -22,6 +22,7 @@
 	"limiter",
 	"loadshed",
 	"membership",
+	"membudget",
 	"pipeline",
 	"quarantine",
 	"quota",
--- a/node/link/proofs.go
+++ b/node/link/proofs.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// receiveReplyProof passes on the proof in the reply to a call.
+func (c *conn) receiveReplyProof(f *frame) {
+	if c.proofs == nil {
+		return
+	}
+	c.mu.Lock()
+	p := c.mu.pending[f.ID]
+	c.mu.Unlock()
+	if p != nil && p.written.Load() {
+		age, proven := f.proofAge()
+		c.proofs.Answered(p.sentAt, f.Version, age, proven)
+	}
+}
+
 // Ask asks up to n connected peers, chosen at random, for their proofs. It returns how many
 // were asked.
 func (p *Pool) Ask(n int) int {
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -6,6 +6,7 @@
 
 	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/internal/httpstatus"
+	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/quota"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -38,6 +39,7 @@
 	// written, in milliseconds, plus 1; 0 if it has none.
 	ProofAge uint32
 	Quota    *quota.Message
+	Part     *wirePart // sent only to peers whose Hello states that they take parts
 }
 
 type wireCall struct {
@@ -46,6 +48,7 @@
 	URI       string
 	Header    []text
 	Body      []byte
+	Rest      int64  // bytes of the body that follow in parts
 	TimeLeft  uint32 // remaining time, in timeLeftUnit
 	Priority  int
 	Rank      uint8
@@ -60,6 +63,7 @@
 	Status   int
 	Header   []text
 	Body     []byte
+	Rest     int64 // bytes of the body that follow in parts
 	Load     Load
 	Views    []wireView
 	Origin   callgraph.Origin
@@ -79,7 +83,7 @@
 func (e *symbolEncoder) call(c *Call) *wireCall {
 	return &wireCall{
 		Envelope: e.text(joinEnvelope(c)), RequestID: c.RequestID, URI: c.URI,
-		Header: e.fields(sortFields(c.Header)), Body: c.Body,
+		Header: e.fields(sortFields(c.Header)), Body: c.Body, Rest: int64(memory.Size(nil, c.Rest)),
 		TimeLeft: uint32(max(c.RemainingTime/remainingTimeUnit, 0)), Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited,
 		Account: e.optional(c.Account),
 	}
@@ -101,7 +105,7 @@
 func (e *symbolEncoder) reply(r *Reply) *wireReply {
 	w := &wireReply{
 		Outcome: r.Outcome, Reason: r.Reason, Arrived: r.Arrived, Status: r.Status,
-		Header: e.fields(sortFields(r.Header)), Body: r.Body, Load: r.Load,
+		Header: e.fields(sortFields(r.Header)), Body: r.Body, Rest: int64(memory.Size(nil, r.Rest)), Load: r.Load,
 		Origin: r.Origin, Duration: uint32(max(r.Duration/costUnit, 0)), Stated: r.Stated,
 	}
 	for _, v := range r.Views {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,6 +29,7 @@
 	targetEnds     expvar.Map // ends of the local target's process, planned or by a crash
 	quarantine     expvar.Map // requests that became suspects, were quarantined or released, by new status
 	invalidLoads   expvar.Int // loads that the local target stated and that can't be used
+	closedClients  expvar.Map // connections of clients that were closed or refused to bound what they hold, by cause
 	storeFailures  expvar.Map // failed calls to the store, by dependency
 	proofs         expvar.Map // what the node did to prove that its configuration is recent
 	storeEpochs    expvar.Map // what responses of the store showed about its epoch, by finding
@@ -47,7 +48,10 @@
 
 func newMetrics() *metrics {
 	m := &metrics{gauges: map[string]func() int64{}}
-	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.storeFailures, &m.storeEpochs, &m.proofs} {
+	for _, variable := range []*expvar.Map{
+		&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.closedClients,
+		&m.storeFailures, &m.storeEpochs, &m.proofs,
+	} {
 		variable.Init()
 	}
 	m.requestLatency.init()
@@ -86,6 +90,7 @@
 	variable("target_ends", &m.targetEnds)
 	variable("quarantine_changes", &m.quarantine)
 	variable("target_load_invalid", &m.invalidLoads)
+	variable("clients_closed", &m.closedClients)
 	variable("store_failures", &m.storeFailures)
 	variable("store_epochs", &m.storeEpochs)
 	variable("configuration_proofs", &m.proofs)
