Proofs of freshness: simulated fleets, and what they showed

Cause: simulations of fleets with cuts, freezes, suspends, restarts, and stores that are down, slow, restored, lose responses or reject some nodes showed nodes that refused for seconds after their store worked again: reads after failures were 4 s apart at least, and reads within the settle time of a new epoch counted as failures.

Change: pauses after failed reads begin at 0.5 s and double, up to 25 ms an instance; a read in the settle time plans the next one for its end; a node whose connection to the store is broken leaves reads to the follower's own tries; own reads and much younger proofs are offered to four peers, who ask for them.

It doesn't cover reads that find an older configuration after the settle time.

--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -16,7 +16,7 @@
 	// askFraction and readFraction are the ages of the proof, as fractions of the bound, from which
 	// the node asks peers and reads the store.
 	askFraction  = 0.3
-	readFraction = 0.5
+	readFraction = 0.6
 	// readSpreadFraction of the time from readFraction until the proof expires is that over
 	// which the nodes' first reads are spread.
 	readSpreadFraction = 0.5
@@ -24,16 +24,18 @@
 	askInterval = 250 * time.Millisecond
 	// answerMemory is how long an answer of a peer shows that peers are within reach.
 	answerMemory = 2 * time.Second
-	// readSpacing times the number of instances is the mean time between a node's reads after
-	// a failed one, between minReadInterval and maxReadInterval, so that all
-	// nodes together make ten a second.
-	readSpacing     = 100 * time.Millisecond
+	// minReadInterval is the mean time between the first failed read and the next one. It
+	// doubles with each further one, up to readSpacing times the number of instances, so that all
+	// nodes together make 40 a second then, or up to maxReadInterval.
 	minReadInterval = 500 * time.Millisecond
+	readSpacing     = 25 * time.Millisecond
 	maxReadInterval = 10 * time.Second
 	// settleTime is how long reads of an epoch prove nothing after the node has first seen it,
 	// and maxSettleTime how long if the store holds an older configuration than the node.
 	settleTime    = 5 * time.Second
 	maxSettleTime = 30 * time.Second
+	// settleSpread is the time over which the nodes' first reads after settleTime are spread.
+	settleSpread = 1 * time.Second
 	// minWait bounds how soon Next is to be called again.
 	minWait = 20 * time.Millisecond
 )
@@ -67,7 +69,7 @@
 	nextRead     time.Duration
 	readPlanned  bool
 	reading      bool
-	readsFailing bool
+	readFailures int // since the last read that was a proof
 }
 
 // NewTracker returns a tracker without a proof. firstStart tells that the whole fleet starts for
@@ -103,7 +105,7 @@
 	if *held != nil && (*held).At >= p.At {
 		return
 	}
-	if held == &t.current && (t.current == nil || p.At-t.current.At > t.fraction(readFraction)) {
+	if held == &t.current && (t.current == nil || p.At-t.current.At > t.fraction(askFraction)) {
 		t.offer = true
 	}
 	*held = &p
@@ -112,8 +114,8 @@
 // HasOffer reports whether TakeOffer would report true.
 func (t *Tracker) HasOffer() bool { return t.offer }
 
-// TakeOffer reports, once, that the node's proof has become so much younger that peers may lack
-// one.
+// TakeOffer reports, once, that the node has a proof that peers may lack: that of an own read, or
+// one that is much younger than the one before.
 func (t *Tracker) TakeOffer() bool {
 	offer := t.offer
 	t.offer = false
@@ -149,18 +151,26 @@
 	if read != epoch.Unknown && !t.settled {
 		// What was sent within the time may have been answered from the incomplete state.
 		known := sent - t.epochSeenAt
-		if known < settleTime || v < t.inForce && known < maxSettleTime {
-			t.readsFailing = true
+		switch {
+		case known < settleTime:
+			t.readPlanned, t.nextRead = true, t.epochSeenAt+settleTime+t.draw(settleSpread)
+			return false
+		case v < t.inForce && known < maxSettleTime:
+			t.readFailures++
 			return false
 		}
 	}
-	t.readsFailing = false
+	t.readFailures = 0
 	t.Observe(Proof{Version: v, At: sent})
+	t.offer = true
 	return true
 }
 
 // ReadFailed records that a read of the store has failed.
-func (t *Tracker) ReadFailed() { t.reading, t.readPlanned, t.readsFailing = false, false, true }
+func (t *Tracker) ReadFailed() {
+	t.reading, t.readPlanned = false, false
+	t.readFailures++
+}
 
 // Fresh reports whether requests may be accepted by the configuration of the version.
 func (t *Tracker) Fresh(now time.Duration, v route.Version) bool {
@@ -185,7 +195,11 @@
 // IsUseful reports whether a peer with a proof of that age is worth a question: the own one grows
 // old, and the peer's is much younger.
 func (t *Tracker) IsUseful(now, age time.Duration) bool {
-	return t.current == nil || now-t.current.At > t.fraction(askFraction) && age < (now-t.current.At)/2
+	if t.current == nil {
+		return true
+	}
+	own := now - t.current.At
+	return own > t.fraction(askFraction)/2 && age < own/2
 }
 
 // Action is what a node does now to have a younger proof.
@@ -196,8 +210,9 @@
 	Wait time.Duration // until Next is to be called again
 }
 
-// Next returns what to do now. instances is the number of known instances.
-func (t *Tracker) Next(now time.Duration, instances int) Action {
+// Next returns what to do now. instances is the number of known instances. storeLost tells that the
+// node's connection to the store is broken, so that it already tries to read the store again.
+func (t *Tracker) Next(now time.Duration, instances int, storeLost bool) Action {
 	if t.current != nil {
 		if left := t.fraction(askFraction) - (now - t.current.At); left > 0 {
 			t.readPlanned = false
@@ -210,7 +225,7 @@
 		t.nextAsk = now + askInterval
 		action.Dial = !t.hasPeers(now)
 	}
-	if t.reading {
+	if t.reading || storeLost {
 		return action
 	}
 	if left := t.untilRead(now); left > 0 {
@@ -238,15 +253,17 @@
 
 // readPause draws the time until the next read.
 func (t *Tracker) readPause(now time.Duration, instances int) time.Duration {
-	if !t.readsFailing {
+	if t.readFailures == 0 {
 		return t.draw(time.Duration(readSpreadFraction * float64(t.Limit()-t.fraction(readFraction))))
 	}
 	sharers := instances
 	if !t.hasPeers(now) {
 		sharers = 1 // nobody reads the store for this node
 	}
-	mean := min(max(time.Duration(sharers)*readSpacing, minReadInterval), maxReadInterval)
-	return mean/2 + t.draw(mean)
+	const maxDoublings = 8
+	mean := minReadInterval << min(t.readFailures-1, maxDoublings)
+	mean = min(mean, max(time.Duration(sharers)*readSpacing, minReadInterval), maxReadInterval)
+	return t.draw(2 * mean)
 }
 
 // hasPeers reports whether a peer has answered lately.
--- a/node/proofs.go
+++ b/node/proofs.go
@@ -125,7 +125,7 @@
 	p.changed()
 	instances := p.node.instances()
 	p.mu.Lock()
-	action := p.mu.tracker.Next(p.now(), instances)
+	action := p.mu.tracker.Next(p.now(), instances, p.node.configurations.IsFailing())
 	p.mu.Unlock()
 	if action.Ask {
 		p.ask(ctx, action.Dial)
--- a/node/store/follower.go
+++ b/node/store/follower.go
@@ -48,6 +48,7 @@
 	// from that state's revision, so no change is lost. It is optional.
 	ReadAfterChange func(ctx context.Context) ([]Change[T], epoch.Revision, error)
 
+	failing       atomic.Bool // Run's last call has failed
 	refresh       chan struct{}
 	restored      atomic.Uint64 // the epoch that Restored was called with last, 0 if it wasn't
 	restoreSignal chan struct{}
@@ -77,6 +78,10 @@
 	}
 }
 
+// IsFailing reports whether Run's last call has failed, so that Run is about to read the source
+// again.
+func (f *Follower[T]) IsFailing() bool { return f.failing.Load() }
+
 // isOutdated reports whether the store has begun another epoch since the given one. A read
 // that states no epoch can't be compared, and reading again may state none either.
 func (f *Follower[T]) isOutdated(read epoch.ID) bool {
@@ -94,7 +99,6 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	backoff := minBackoff
 	restoreBackoff := minBackoff
-	failing := false
 	read := f.Source.Read
 	lastRead := epoch.Unknown
 	for ctx.Err() == nil {
@@ -111,8 +115,7 @@
 			}
 		}
 		for err == nil && ctx.Err() == nil {
-			if failing {
-				failing = false
+			if f.failing.Swap(false) {
 				f.OnRecovery()
 			}
 			backoff = minBackoff
@@ -140,7 +143,7 @@
 			restoreBackoff = min(2*restoreBackoff, f.maxBackoff())
 			continue
 		}
-		failing = true
+		f.failing.Store(true)
 		f.OnFailure(err)
 		f.sleep(ctx, backoff/2+rand.N(backoff)) // random, so that the nodes don't call at the same time
 		backoff = min(2*backoff, f.maxBackoff())
