node/link: set the proofs of test pools before they serve

Cause: the test of proofs set a field while the pool's listener ran already, which the race detector reports. Change: the pools get their proofs when they are made.

--- a/node/link/pool_test.go
+++ b/node/link/pool_test.go
@@ -82,14 +82,21 @@
 // pair returns a pool that sends calls to the address, its node, and the pool that
 // serves at the address with the node server.
 func pair(t *testing.T, server *fakeNode) (client *Pool, address string, clientNode *fakeNode, serverPool *Pool) {
+	return pairWith(t, server, nil, nil)
+}
+
+// pairWith is like pair, with the proofs of both sides.
+func pairWith(t *testing.T, server *fakeNode, clientProofs, serverProofs Proofs) (client *Pool, address string, clientNode *fakeNode, serverPool *Pool) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	serverPool = NewPool(server, time.Now)
+	serverPool.Proofs = serverProofs
 	go func() { _ = serverPool.Serve(listener) }()
 	clientNode = &fakeNode{name: "caller", serve: echo}
 	client = NewPool(clientNode, time.Now)
+	client.Proofs = clientProofs
 	t.Cleanup(func() {
 		_ = listener.Close()
 		serverPool.Close()
--- a/node/link/proofs_test.go
+++ b/node/link/proofs_test.go
@@ -64,11 +64,9 @@
 	Convey("Given a peer with a proof", t, func() {
 		server := &fakeNode{name: "server", serve: echo}
 		server.mu.version = 7
-		client, address, clientNode, serverPool := pair(t, server)
-		clientNode.mu.version = 7 // it pulls no newer one
 		asker := &fakeProofs{now: time.Hour}
-		client.Proofs = asker
-		serverPool.Proofs = &fakeProofs{age: 1200500 * time.Microsecond, proven: true}
+		client, address, clientNode, serverPool := pairWith(t, server, asker, &fakeProofs{age: 1200500 * time.Microsecond, proven: true})
+		clientNode.mu.version = 7 // it pulls no newer one
 		want := answer{time.Hour, 1201 * time.Millisecond, 7, true}
 		Convey("a reply carries its age, which counts from when the call was written", func() {
 			_, err := client.Do(context.Background(), address, call("1"))
@@ -98,9 +96,8 @@
 	})
 	Convey("A peer without a proof states none, and one that exchanges none answers as before", t, func() {
 		for _, peer := range []Proofs{&fakeProofs{}, nil} {
-			client, address, _, serverPool := pair(t, &fakeNode{name: "server", serve: echo})
 			asker := &fakeProofs{}
-			client.Proofs, serverPool.Proofs = asker, peer
+			client, address, _, _ := pairWith(t, &fakeNode{name: "server", serve: echo}, asker, peer)
 			_, err := client.Do(context.Background(), address, call("1"))
 			So(err, ShouldBeNil)
 			So(asker.received()[0].proven, ShouldBeFalse)
