--- a/quota/table.go
+++ b/quota/table.go
@@ -11,8 +11,9 @@
 	TickInterval  = 100 * time.Millisecond
 	pruneInterval = 1 * time.Second
 	// growthMemory is for how long a number of instances counts after it was last stated, by
-	// this node or by a peer. The largest one counts: parts that are too small only waste quota.
-	growthMemory = 10 * time.Second
+	// this node or by a peer, and at least two renewals. The largest one counts: parts that are
+	// too small only waste quota.
+	growthMemory = 5 * time.Second
 )
 
 // Account is an account and its limit.
@@ -137,7 +138,8 @@
 	if count <= 0 {
 		return
 	}
-	t.counts = slices.DeleteFunc(t.counts, func(c instanceCount) bool { return c.count <= count || now-c.at > growthMemory })
+	memory := max(growthMemory, 2*renewal(t.instances))
+	t.counts = slices.DeleteFunc(t.counts, func(c instanceCount) bool { return c.count <= count || now-c.at > memory })
 	t.counts = append(t.counts, instanceCount{count, now}) // decreasing
 	largest := t.counts[0].count
 	if !t.isComplete || largest == t.instances {
