returntime: refused callers come back when there is room for them

Change: the new package returntime gives half of the room that admission leaves a priority to refused callers, as places in time; a request that comes at its time (recognized by a fingerprint of method, host, URI and account) is admitted, and a new one yields. An early one is told the rest of its time while its priority is restricted. Without a place in time the delay stated is longer than callers wait. At most 8,192 requests are remembered. loadshed.Table.IsRestricted is split from Admit. request.account is added, nil until accounts are merged.

--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -25,6 +25,7 @@
 	"quarantine",
 	"republish",
 	"retrybudget",
+	"returntime",
 	"rollout",
 	"roster",
 	"route",
--- a/loadshed/loadshed.go
+++ b/loadshed/loadshed.go
@@ -235,8 +235,29 @@
 // the request's cost is negligible don't count.
 func (t *Table) Admit(now time.Time, priority int, costs []ServiceCost) Decision {
 	priority = ClampPriority(priority)
-	decision := Decision{Admit: true, Share: 1}
-	var limiting *service
+	decision, limiting := t.limit(now, priority, costs)
+	if limiting == nil {
+		return decision
+	}
+	credit := &limiting.credit[priority]
+	*credit = min(*credit+decision.Share, 2)
+	decision.Admit = *credit >= 1
+	if decision.Admit {
+		*credit--
+	}
+	return decision
+}
+
+// IsRestricted reports whether Admit refuses some of the requests like this one.
+func (t *Table) IsRestricted(now time.Time, priority int, costs []ServiceCost) bool {
+	_, limiting := t.limit(now, ClampPriority(priority), costs)
+	return limiting != nil
+}
+
+// limit returns the service that admits the smallest share of the priority's requests, nil if
+// none restricts them, and the decision without its Admit.
+func (t *Table) limit(now time.Time, priority int, costs []ServiceCost) (decision Decision, limiting *service) {
+	decision = Decision{Admit: true, Share: 1}
 	for _, c := range costs {
 		s := t.service(c.Service)
 		cost := c.Time.Seconds()
@@ -250,16 +271,7 @@
 			decision.Pressure, decision.Age = s.pressures[priority], now.Sub(s.observedAt)
 		}
 	}
-	if limiting == nil {
-		return decision
-	}
-	credit := &limiting.credit[priority]
-	*credit = min(*credit+decision.Share, 2)
-	decision.Admit = *credit >= 1
-	if decision.Admit {
-		*credit--
-	}
-	return decision
+	return decision, limiting
 }
 
 // Restriction states why and how far requests are refused for one service.
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
 	"github.com/gypsumford/gypsumford/quarantine"
+	"github.com/gypsumford/gypsumford/returntime"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -57,6 +57,7 @@
 	log      decisionLog
 	metrics  *metrics
 	whole    *wholeRequests
+	returns  *returns
 	// onNoTarget is called when no target of a request's service is known.
 	onNoTarget func()
 }
@@ -67,8 +68,9 @@
 	configuration  *route.Configuration
 	route          *route.Route
 	service        string
-	priority       int   // of the route, or of the root request that this call belongs to
-	rank           uint8 // of the root request, among those of the priority
+	account        *route.Account // nil without one
+	priority       int            // of the route, or of the root request that this call belongs to
+	rank           uint8          // of the root request, among those of the priority
 	deadline       time.Time
 	origin         callgraph.Origin
 	sentAt         time.Time // when it was last sent
@@ -77,14 +79,15 @@
 	runs           int       // at targets, including those that may have run
 	excluded       []string  // IDs of the targets that it was sent to
 	hasFingerprint bool
-	unserved       bool           // no target of the service is known
-	slowStart      bool           // admitted before the route's cost was known
-	lastReason     link.Reason    // of the last reply
-	choice         balance.Choice // of the last target
-	repeated       bool           // belongs to a run that repeats an earlier one
-	uncarried      bool           // retries of rejected sends don't suffice for it
-	denials        int            // retries that the budget had no room for
-	crashes        int            // runs that were lost because the target crashed
+	unserved       bool             // no target of the service is known
+	slowStart      bool             // admitted before the route's cost was known
+	lastReason     link.Reason      // of the last reply
+	choice         balance.Choice   // of the last target
+	repeated       bool             // belongs to a run that repeats an earlier one
+	limit          returntime.Limit // by which it was admitted or refused; no service if by none
+	uncarried      bool             // retries of rejected sends don't suffice for it
+	denials        int              // retries that the budget had no room for
+	crashes        int              // runs that were lost because the target crashed
 	placement      quarantine.Placement
 	fingerprint    quarantine.Fingerprint // valid if hasFingerprint is set
 	lastReply      *link.Reply            // the last failed response; the caller gets it if no retry succeeds
@@ -161,10 +164,20 @@
 		}
 		return nil // the parent runs already, and a refusal would waste its work
 	}
-	decision := loadshed.Decision{Admit: true}
+	status, wait := d.returns.arrive(now, r)
+	if status == returntime.Early && d.isRestricted(now, r) {
+		return d.refuseEarly(r, wait)
+	}
+	decision := loadshed.Decision{Admit: true, Share: 1}
 	costStatus := t.mu.costs.Arrive(now, r.route.Name)
 	switch costStatus {
 	case loadshed.CostKnown:
+		if status == returntime.Due {
+			d.metrics.returns.Add(status.String(), 1)
+			r.rank = 0 // so that its retries are granted, too
+			d.admitWhole(now, r, &decision)
+			return nil
+		}
 		decision = t.mu.shed.Admit(now, r.priority, t.mu.costs.ByService(r.route.Name))
 		if decision.Admit {
 			d.admitWhole(now, r, &decision)
@@ -174,7 +187,8 @@
 	case loadshed.SlowStart:
 		r.slowStart = true
 	}
-	if decision.Admit {
+	r.limit = returntime.Limit{Service: decision.Service, Priority: r.priority, Share: decision.Share}
+	if decision.Admit = d.returns.decide(now, r, decision.Admit); decision.Admit {
 		return nil
 	}
 	retryAfter := d.retryAfter(r, now)
@@ -183,23 +197,6 @@
 	return refusal(retryAfter)
 }
 
-// retryAfter returns the delay after which the caller of a refused request should
-// retry. It is long enough for the load to change and short enough for the route's
-// objective, and random, so that the refused callers don't all retry at once.
-func (d *dispatcher) retryAfter(r *request, now time.Time) time.Duration {
-	const minFraction, maxFraction = 0.25, 0.6 // of the objective
-	objective := r.route.Objective
-	if objective <= 0 {
-		objective = time.Second
-	}
-	fraction := minFraction + rand.Float64()*(maxFraction-minFraction)
-	remaining := r.deadline.Sub(now)
-	if r.HasDeadline {
-		remaining = r.ArrivedAt.Add(r.RemainingTime).Sub(now)
-	}
-	return boundRetryAfter(time.Duration(fraction*float64(objective)), remaining)
-}
-
 func refusal(retryAfter time.Duration) *ingress.Response {
 	return &ingress.Response{Status: http.StatusServiceUnavailable, FromNode: true, RetryAfter: retryAfter}
 }
@@ -410,14 +407,3 @@
 	d.metrics.requestLatency.record(took)
 	return response
 }
-
-// boundRetryAfter limits a retry-after delay to what leaves the caller enough remaining
-// time for the retry.
-func boundRetryAfter(delay, remaining time.Duration) time.Duration {
-	const (
-		minDelay = 50 * time.Millisecond
-		// maxFraction of the remaining time is what callers are willing to wait.
-		maxFraction = 0.3
-	)
-	return max(min(delay, time.Duration(maxFraction*float64(remaining))), minDelay)
-}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -25,6 +25,7 @@
 	ends           expvar.Map // of requests, by reason
 	refused        expvar.Map // at the entry, by priority
 	refusedRetries expvar.Map // at the entry, as retries don't suffice, by service
+	returns        expvar.Map // requests that came back after a refusal, by status
 	deniedRetries  expvar.Int // calls for the local target that the retry budget had no room for
 	retries        expvar.Int // sends after the request had reached a target
 	targetCalls    expvar.Map // calls for the local target, by outcome and reason
@@ -47,7 +48,7 @@
 
 func newMetrics() *metrics {
 	m := &metrics{gauges: map[string]func() int64{}}
-	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.refusedRetries, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.storeFailures, &m.storeEpochs} {
+	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.refusedRetries, &m.returns, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.storeFailures, &m.storeEpochs} {
 		variable.Init()
 	}
 	m.requestLatency.init()
@@ -82,6 +83,7 @@
 	variable("request_ends", &m.ends)
 	variable("refused_at_entry", &m.refused)
 	variable("refused_for_retries", &m.refusedRetries)
+	variable("returns", &m.returns)
 	variable("repeats", &m.retries)
 	variable("repeats_denied", &m.deniedRetries)
 	variable("target_calls", &m.targetCalls)
--- a/node/whole.go
+++ b/node/whole.go
@@ -51,6 +51,9 @@
 		w.mu.calls = append(w.mu.calls, retrybudget.Calls{Service: c.Service, Requests: c.Requests})
 	}
 	carried := w.mu.admission.Arrive(now, nodes, importance, w.mu.calls)
+	if carried.Share < decision.Share {
+		decision.Service, decision.Share = carried.Service, carried.Share
+	}
 	if !carried.Admits(importance) {
 		r.uncarried = true
 		if len(w.mu.calls) > 1 && carried.Service != r.service {
--- a/node/whole_test.go
+++ b/node/whole_test.go
@@ -12,6 +12,7 @@
 	"github.com/gypsumford/gypsumford/node/ingress"
 	"github.com/gypsumford/gypsumford/node/link"
 	"github.com/gypsumford/gypsumford/retrybudget"
+	"github.com/gypsumford/gypsumford/returntime"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -108,6 +109,24 @@
 	Convey("A request that the service itself may accept at once is sent in any case", t, func() {
 		So(serve(newDispatcher(), "check", "deep", 0.55), ShouldEqual, 1000)
 	})
+	Convey("A refused caller that comes back early is told the rest of its time, and is admitted once nothing is restricted", t, func() {
+		d := newDispatcher()
+		serve(d, "order", "front", 0.55)
+		newRequest := func() *request {
+			in := &ingress.Request{Method: "GET", Host: "h", URI: "/order/1", ArrivedAt: now, Fields: ingress.Fields{HasDeadline: true, RemainingTime: 3 * time.Second}}
+			return &request{Request: in, route: &route.Route{Name: "order", Objective: time.Second}, service: "front", limit: returntime.Limit{Service: "deep", Share: 0.2}}
+		}
+		d.returns = newReturns()
+		first := newRequest()
+		delay := d.retryAfter(first, now)
+		So(delay, ShouldBeGreaterThanOrEqualTo, 250*time.Millisecond)
+		status, wait := d.returns.arrive(now.Add(100*time.Millisecond), newRequest())
+		So(status, ShouldEqual, returntime.Early)
+		So(wait, ShouldEqual, delay-100*time.Millisecond)
+		So(d.isRestricted(now, first), ShouldBeTrue)
+		now = now.Add(2 * time.Second) // the last rejection is too old to decide by
+		So(d.isRestricted(now, first), ShouldBeFalse)
+	})
 	Convey("A node of an earlier build doesn't count retries, so the sender does", t, func() {
 		d := newDispatcher()
 		r := &request{Request: &ingress.Request{}, route: &route.Route{Name: "check"}, service: "deep", arrivals: 1}
