Nodes decide by marginal cost which requests leave the failure domain

Requests that others wait for keep their rule, and requests that a quarantine restricts to some targets don't count.

--- a/cmd/gypsumd/sidecar.go
+++ b/cmd/gypsumd/sidecar.go
@@ -39,6 +39,9 @@
 	// advertisedAddressVariable is the environment variable with the address at
 	// which peers reach this node, if that differs from the listen address.
 	advertisedAddressVariable = "GYPSUM_ADVERTISED_ADDRESS"
+	// spilloverVariable is the environment variable that is "off" if a fixed factor is to
+	// decide on leaving the failure domain, in place of package spillover.
+	spilloverVariable = "GYPSUM_SPILLOVER"
 )
 
 // runSidecar runs a node with the platform's settings file and returns the exit
@@ -94,6 +97,13 @@
 			return errors.Wrapf(err, "%s: want host:port", advertisedAddressVariable)
 		}
 	}
+	switch value := os.Getenv(spilloverVariable); value {
+	case "", "on":
+	case "off":
+		s.WithoutSpillover = true
+	default:
+		return errors.Newf("%s: want on or off, got %q", spilloverVariable, value)
+	}
 	return readMetricsPort(s)
 }
 
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -50,6 +50,7 @@
 	now      func() time.Time
 	tables   *tables
 	delivery *delivery
+	domains  *domains
 	links    *link.Pool
 	log      decisionLog
 	metrics  *metrics
@@ -229,12 +230,15 @@
 	defer t.mu.Unlock()
 	candidates := t.mu.roster.Serving(r.service)
 	r.unserved = len(candidates) == 0
+	serving := len(candidates)
 	candidates, held := d.restrict(r, candidates)
 	if held {
 		r.lastReason = link.ReasonQuarantined
 		return balance.Choice{}, false
 	}
-	wanted := balance.Request{Route: r.route.Name, Awaited: r.Awaited}
+	wanted := balance.Request{
+		Route: r.route.Name, Service: r.service, Awaited: r.Awaited, Restricted: len(candidates) < serving,
+	}
 	choice, ok := t.mu.balance.Choose(now, wanted, candidates, r.excluded)
 	if !ok && r.lastReason == link.ReasonRefused && r.runs == 0 {
 		r.excluded = nil
@@ -247,6 +251,7 @@
 		return choice, false
 	}
 	t.mu.balance.Sent(now, choice.Record.Target.ID)
+	d.domains.sent(r.service, &choice)
 	r.choice = choice
 	return choice, true
 }
@@ -350,6 +355,7 @@
 		t.mu.roster.ObserveStatements(choice.Record.Instance, roster.Target{ID: id, Born: s.Born, RateLimit: s.RateLimit, Leaving: s.Leaving})
 	}
 	t.recordReply(now, r.route.Name, r.service, reply)
+	d.domains.ended(r.service, &choice, len(r.Body)+len(reply.Body))
 	switch {
 	case reply.Outcome == link.OutcomeResponded:
 		failed := reply.Status >= http.StatusInternalServerError
--- a/node/log.go
+++ b/node/log.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumford/gypsumford/quarantine"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
+	"github.com/gypsumford/gypsumford/spillover"
 )
 
 // decisionLog writes one line for each decision on a request and each change of state.
@@ -33,7 +34,7 @@
 		"status", status, "own", response == nil || response.FromNode, "why", why, "last", r.lastReason.String(),
 		"sends", r.sends, "arrivals", r.arrivals, "tried", r.excluded, "origin", r.origin.String(),
 		"tookMs", took.Milliseconds(), "score", r.choice.Score, "candidates", r.choice.Candidates,
-		"loadAgeMs", r.choice.LoadAge.Milliseconds())
+		"loadAgeMs", r.choice.LoadAge.Milliseconds(), "left", r.choice.Spillover.Reason.String())
 }
 
 // callEnded logs the end of a call at the node beside its target, unless the target
@@ -102,6 +103,16 @@
 		"service", decision.Service, "pressure", decision.Pressure, "ageMs", decision.Age.Milliseconds(), "share", decision.Share, "retryAfterMs", retryAfter.Milliseconds())
 }
 
+// domainLeft logs that requests for a service began to leave the node's failure domain, or that
+// they stay there again.
+func (l decisionLog) domainLeft(s *spillover.Status, domain string) {
+	message := "requests stay in the failure domain"
+	if s.Leaving {
+		message = "requests leave the failure domain"
+	}
+	l.Info(message, "service", s.Service, "domain", domain, "share", s.Share)
+}
+
 // unexpectedError logs an error that the other end of the connection didn't cause.
 func (l decisionLog) unexpectedError(where string, err error) {
 	l.Info("unexpected error", "at", where, "error", err.Error())
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,6 +29,9 @@
 	targetEnds     expvar.Map // ends of the local target's process, planned or by a crash
 	quarantine     expvar.Map // requests that became suspects, were quarantined or released, by new status
 	invalidLoads   expvar.Int // loads that the local target stated and that can't be used
+	domainRequests expvar.Map // requests sent to other failure domains, by service and reason
+	domainBytes    expvar.Map // bytes of bodies sent to and received from them, by service
+	domainShares   expvar.Map // percentage of the requests that leaves the failure domain, by service
 	storeFailures  expvar.Map // failed calls to the store, by dependency
 	storeEpochs    expvar.Map // what responses of the store showed about its epoch, by finding
 	requestLatency histogram  // from the arrival of a request to its end
@@ -46,7 +49,8 @@
 
 func newMetrics() *metrics {
 	m := &metrics{gauges: map[string]func() int64{}}
-	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.storeFailures, &m.storeEpochs} {
+	for _, variable := range []*expvar.Map{&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine,
+		&m.domainRequests, &m.domainBytes, &m.domainShares, &m.storeFailures, &m.storeEpochs} {
 		variable.Init()
 	}
 	m.requestLatency.init()
@@ -85,6 +89,9 @@
 	variable("target_ends", &m.targetEnds)
 	variable("quarantine_changes", &m.quarantine)
 	variable("target_load_invalid", &m.invalidLoads)
+	variable("other_domain_requests", &m.domainRequests)
+	variable("other_domain_bytes", &m.domainBytes)
+	variable("other_domain_share_percent", &m.domainShares)
 	variable("store_failures", &m.storeFailures)
 	variable("store_epochs", &m.storeEpochs)
 	variable("request_latency_us", &m.requestLatency)
@@ -95,3 +102,26 @@
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_, _ = fmt.Fprintf(w, "{\n%s\n}\n", strings.TrimSuffix(text.String(), ",\n")) // the client may have disconnected
 }
+
+// setDomainShare sets the share of the requests for a service that leaves the failure domain.
+func (m *metrics) setDomainShare(service string, share float64) {
+	percent, ok := m.domainShares.Get(service).(*expvar.Int)
+	if !ok {
+		percent = new(expvar.Int)
+		m.domainShares.Set(service, percent)
+	}
+	percent.Set(int64(100*share + 0.5))
+}
+
+// retainDomainShares prunes the shares of services that are not listed.
+func (m *metrics) retainDomainShares(listed map[string]bool) {
+	var unlisted []string // Do holds the lock that Delete needs
+	m.domainShares.Do(func(v expvar.KeyValue) {
+		if !listed[v.Key] {
+			unlisted = append(unlisted, v.Key)
+		}
+	})
+	for _, service := range unlisted {
+		m.domainShares.Delete(service)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -134,6 +134,7 @@
 	tables         *tables
 	delivery       *delivery
 	links          *link.Pool
+	domains        *domains
 	dispatcher     *dispatcher
 	ingress        *ingress.Server
 	configurations *store.Follower[*route.Configuration]
@@ -182,10 +183,11 @@
 	n.delivery.speed.metrics, n.delivery.speed.log = n.metrics, n.log
 	n.delivery.onTargetChanged = n.targetChanged
 	n.delivery.onCrash, n.delivery.onCleared = n.targetCrashed, n.requestsCleared
+	n.domains = newDomains(s, n.tables, n.log, n.metrics)
 	n.links = link.NewPool(n, n.now)
 	n.dispatcher = &dispatcher{
 		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log, metrics: n.metrics,
-		onNoTarget: n.readRecords,
+		domains: n.domains, onNoTarget: n.readRecords,
 	}
 	n.ingress = ingress.NewServer(p.Dialect, n.dispatcher, s.MemoryBytes, n.now)
 	n.ingress.OnUnexpected = n.log.unexpectedError
@@ -286,6 +288,7 @@
 	go periodic.Every(background, link.TickInterval, n.links.Tick)
 	go periodic.Every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
 	go periodic.Every(background, restrictionLogInterval, n.logRestrictions)
+	go periodic.Every(background, spilloverLogInterval, func() { n.domains.logChanges(n.now()) })
 	go periodic.Every(background, statementLogInterval, n.delivery.logLimited)
 	go periodic.Every(background, targetCheckInterval, n.expireTarget)
 	go periodic.Every(background, idleCheckInterval, n.delivery.pool.CloseExpired)
--- a/node/peers.go
+++ b/node/peers.go
@@ -164,6 +164,7 @@
 	}
 	n.tables.retainRoutes(c)
 	n.delivery.speed.retainRoutes(c)
+	n.domains.retainServices(c)
 	n.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "from", from)
 	n.links.AnnounceVersion()
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -27,6 +27,9 @@
 	Revocation        Revocation
 	Quota             Quota
 	FirstStart        bool // the whole fleet starts for the first time
+	// WithoutSpillover makes a fixed factor decide on leaving the failure domain, in place of
+	// package spillover.
+	WithoutSpillover bool
 }
 
 // Revocation states how soon a withdrawn key of a client account must be refused.
