gypsumctl explain: where a request would go now, and why

Route, account, priority, the pressures that admission decides by, the other failure domains with the gain of leaving, and the candidate targets with scores and the probability of the first send, by GET /explain at the metrics address. Nothing is sent or counted; the probabilities are compared with 20,000 choices in a test. Quotas, the retry budget and quarantine aren't considered.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -104,7 +104,11 @@
 		state.coldUntilSet = true
 		state.coldUntil = now.Add(r.Target.ColdLeft)
 	}
-	base := t.baseScore(now, state)
+	return assessState(now, state, r)
+}
+
+func assessState(now time.Time, state *targetState, r *roster.Record) candidate {
+	base := baseScore(now, state)
 	used, slots := usedShare(now, state, r.Target.Slots)
 	c := candidate{record: r, state: state, score: base * loadFactor(used), base: base, slots: slots, weight: float64(slots) / base}
 	if now.Before(state.backoffUntil) {
--- a/balance/table.go
+++ b/balance/table.go
@@ -123,11 +123,13 @@
 	}
 }
 
+func newTargetState() *targetState { return &targetState{latencyRatio: 1} }
+
 // target returns the state of the target, which it creates if there is none.
 func (t *Table) target(id string) *targetState {
 	state := t.targets[id]
 	if state == nil {
-		state = &targetState{latencyRatio: 1}
+		state = newTargetState()
 		t.targets[id] = state
 	}
 	return state
@@ -147,7 +149,7 @@
 
 // baseScore returns the expected latency of the next request at the target if it were idle,
 // as a multiple of the route's mean latency and including the penalties.
-func (t *Table) baseScore(now time.Time, state *targetState) float64 {
+func baseScore(now time.Time, state *targetState) float64 {
 	fade := 1.0
 	if quiet := now.Sub(state.lastActive); quiet > 0 && state.inFlight == 0 {
 		fade = 1 / (1 + 2*quiet.Seconds()/penaltyDecayTime.Seconds())
--- a/command/verbs/verbs.go
+++ b/command/verbs/verbs.go
@@ -7,6 +7,7 @@
 	"github.com/gypsumford/gypsumford/command/check"
 	"github.com/gypsumford/gypsumford/command/diff"
 	"github.com/gypsumford/gypsumford/command/drain"
+	"github.com/gypsumford/gypsumford/command/explain"
 	"github.com/gypsumford/gypsumford/command/get"
 	"github.com/gypsumford/gypsumford/command/quarantine"
 	"github.com/gypsumford/gypsumford/command/status"
@@ -24,6 +25,7 @@
 		status.Verb,
 		drain.Verb,
 		quarantine.Verb,
+		explain.Verb,
 		timeline.Verb,
 		version.Verb,
 	}
--- a/node/operator.go
+++ b/node/operator.go
@@ -35,6 +35,7 @@
 	router := chi.NewRouter()
 	router.Get(QuarantinePath, n.serveQuarantine)
 	router.Post(QuarantinePath+ReleasePath, n.serveRelease)
+	router.Get(ExplainPath, n.serveExplain)
 	router.NotFound(n.metrics.ServeHTTP)
 	return router
 }
