--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -55,6 +55,7 @@
 	now      func() time.Time
 	tables   *tables
 	delivery *delivery
+	domains  *domains
 	links    *link.Pool
 	quotas   *quotas
 	log      decisionLog
@@ -249,12 +250,15 @@
 	defer t.mu.Unlock()
 	candidates := t.mu.roster.Serving(r.service)
 	r.unserved = len(candidates) == 0
+	serving := len(candidates)
 	candidates, held := d.restrict(r, candidates)
 	if held {
 		r.lastReason = link.ReasonQuarantined
 		return balance.Choice{}, false
 	}
-	wanted := balance.Request{Route: r.route.Name, Awaited: r.Awaited}
+	wanted := balance.Request{
+		Route: r.route.Name, Service: r.service, Awaited: r.Awaited, Restricted: len(candidates) < serving,
+	}
 	choice, ok := t.mu.balance.Choose(now, wanted, candidates, r.excluded)
 	if !ok && (r.lastReason == link.ReasonRefused || r.lastReason == link.ReasonRetryBudget) && r.runs == 0 {
 		r.excluded = nil
@@ -267,6 +271,7 @@
 		return choice, false
 	}
 	t.mu.balance.Sent(now, choice.Record.Target.ID)
+	d.domains.sent(r.service, &choice)
 	r.choice = choice
 	return choice, true
 }
@@ -363,7 +368,9 @@
 	if s := reply.Stated; s != nil {
 		t.mu.roster.ObserveStatements(choice.Record.Instance, roster.Target{ID: id, Born: s.Born, RateLimit: s.RateLimit, Leaving: s.Leaving})
 	}
+	d.domains.relieve(now, r.service, &choice, reply)
 	t.recordReply(now, r.route.Name, r.service, reply)
+	d.domains.ended(r.service, &choice, len(r.Body)+len(reply.Body))
 	switch {
 	case reply.Outcome == link.OutcomeResponded:
 		failed := reply.Status >= http.StatusInternalServerError
--- a/node/node.go
+++ b/node/node.go
@@ -136,6 +136,7 @@
 	retries        *retryLedger
 	whole          *wholeRequests
 	links          *link.Pool
+	domains        *domains
 	dispatcher     *dispatcher
 	quotas         *quotas
 	ingress        *ingress.Server
@@ -189,10 +190,11 @@
 	n.delivery.retries, n.delivery.whole = n.retries, n.whole
 	n.delivery.onTargetChanged = n.targetChanged
 	n.delivery.onCrash, n.delivery.onCleared = n.targetCrashed, n.requestsCleared
+	n.domains = newDomains(s, n.tables, n.log, n.metrics)
 	n.links = link.NewPool(n, n.now)
 	n.dispatcher = &dispatcher{
-		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log, metrics: n.metrics, whole: n.whole, returns: newReturns(),
-		onNoTarget: n.readRecords,
+		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log, metrics: n.metrics,
+		whole: n.whole, returns: newReturns(), domains: n.domains, onNoTarget: n.readRecords,
 	}
 	n.ingress = ingress.NewServer(p.Dialect, n.dispatcher, s.MemoryBytes, n.now)
 	n.ingress.OnUnexpected = n.log.unexpectedError
@@ -306,6 +308,7 @@
 	go periodic.Every(background, link.TickInterval, n.links.Tick)
 	go periodic.Every(background, loadshed.TickInterval, func() { n.tables.tick(n.now()) })
 	go periodic.Every(background, restrictionLogInterval, n.logRestrictions)
+	go periodic.Every(background, spilloverLogInterval, func() { n.domains.logChanges(n.now()) })
 	go periodic.Every(background, statementLogInterval, n.delivery.logLimited)
 	go periodic.Every(background, targetCheckInterval, n.expireTarget)
 	go periodic.Every(background, idleCheckInterval, n.delivery.pool.CloseExpired)
