ingress: a stopping node closes its listener as soon as the backlog is empty

Callers saw: around a planned stop, a connection that was just made was reset (TestPlannedStop). Cause: after the backlog was drained the listener stayed open for 20 ms more, more under load, and connections of that time were reset when it closed. Change: the goroutine that accepts closes the listener itself once an accept has timed out.

--- a/node/ingress/server.go
+++ b/node/ingress/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,9 @@
 	// backlogDrainTime is how long a stopping server still accepts connections that
 	// callers have already made.
 	backlogDrainTime = 20 * time.Millisecond
-	stopPollInterval = 20 * time.Millisecond
+	// maxBacklogDrainTime bounds the wait for that, since accepting may fail for long.
+	maxBacklogDrainTime = 500 * time.Millisecond
+	stopPollInterval    = 20 * time.Millisecond
 )
 
 // ErrStopped means that the server was stopped.
@@ -47,6 +50,7 @@
 	mu struct {
 		sync.Mutex
 		listener net.Listener
+		ended    chan struct{} // closed when Serve has closed the listener
 		conns    map[*conn]struct{}
 		stopping bool
 	}
@@ -71,8 +75,10 @@
 
 // Serve accepts connections from the listener until the server is stopped.
 func (s *Server) Serve(listener net.Listener) error {
+	ended := make(chan struct{})
+	defer close(ended)
 	s.mu.Lock()
-	s.mu.listener = listener
+	s.mu.listener, s.mu.ended = listener, ended
 	s.mu.Unlock()
 	pause := minAcceptPause
 	for {
@@ -81,7 +87,12 @@
 		case err == nil:
 			pause = minAcceptPause
 			s.accept(socket)
-		case s.isStopping() || errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed):
+			return ErrStopped
+		case s.isStopping() && errors.Is(err, os.ErrDeadlineExceeded):
+			// The backlog is empty. Connections that callers make from here on would be reset
+			// when the listener is closed, so it is closed at once.
+			_ = listener.Close() // nothing can be done about a failure
 			return ErrStopped
 		default:
 			s.OnUnexpected("accept a connection from a caller", err) // out of file descriptors, for example
@@ -135,9 +146,9 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.mu.stopping = true
-	listener := s.mu.listener
+	listener, ended := s.mu.listener, s.mu.ended
 	s.mu.Unlock()
-	s.closeListener(listener)
+	s.closeListener(listener, ended)
 	for _, c := range s.openConns() {
 		c.stop()
 	}
@@ -151,18 +162,21 @@
 	return nil
 }
 
-// closeListener closes the listener after the connections in its backlog are accepted,
-// since closing it would reset them.
-func (s *Server) closeListener(listener net.Listener) {
+// closeListener makes Serve close the listener after the connections in its backlog are
+// accepted, since closing it would reset them, and waits until it has.
+func (s *Server) closeListener(listener net.Listener, ended <-chan struct{}) {
 	if listener == nil {
 		return
 	}
 	if tcp, ok := listener.(*net.TCPListener); ok {
 		if err := tcp.SetDeadline(time.Now().Add(backlogDrainTime)); err == nil {
-			time.Sleep(2 * backlogDrainTime)
+			select {
+			case <-ended:
+			case <-time.After(maxBacklogDrainTime):
+			}
 		}
 	}
-	_ = listener.Close() // the backlog is empty; nothing can be done about a failure
+	_ = listener.Close() // fails if Serve has closed it
 }
 
 // Close closes all connections at once and cancels their requests.
