--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -205,6 +205,9 @@
 // run sends the request to targets until it ends, and returns the response.
 func (d *dispatcher) run(ctx context.Context, r *request) *ingress.Response {
 	for {
+		if response := d.renewQuota(ctx, r); response != nil {
+			return response
+		}
 		choice, ok := d.choose(r)
 		if !ok {
 			if r.unserved {
--- a/node/quota.go
+++ b/node/quota.go
@@ -254,6 +254,16 @@
 	return d.end(r, refusal(max(decision.RetryAfter, minQuotaRetry)), "quota-unavailable")
 }
 
+// renewQuota decides again on a request that has not run and whose token is stale when it is to be
+// sent again. Otherwise requests that were held up would start beside those of a later window.
+func (d *dispatcher) renewQuota(ctx context.Context, r *request) *ingress.Response {
+	if !r.hasQuotaToken || r.sends == 0 || r.runs > 0 || !r.quotaToken.IsStale(d.quotas.clock()) {
+		return nil
+	}
+	r.hasQuotaToken = false
+	return d.takeQuota(ctx, r)
+}
+
 // returnQuota gives back what the request took from its account's quota if it has not run.
 func (d *dispatcher) returnQuota(r *request) {
 	if r.hasQuotaToken && r.runs == 0 {
--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -196,3 +196,34 @@
 		}
 	}
 }
+
+// TestRequestsHeldUpTakeANewToken guards against requests that are refused by their targets for
+// long and then start beside those of a later window.
+func TestRequestsHeldUpTakeANewToken(t *testing.T) {
+	t.Parallel()
+	peers := quotaFleet(t, 1, quota.Limit{Rate: 100, Burst: 100})
+	settings := &Settings{Name: "node-0"}
+	d := &dispatcher{
+		settings: settings, now: time.Now, tables: newTables(settings, 0), log: decisionLog{logr.Discard()}, metrics: newMetrics(),
+		quotas: peers[0].quotas,
+	}
+	time.Sleep(100 * time.Millisecond)
+	r := &request{Request: &ingress.Request{ArrivedAt: time.Now()}, account: &route.Account{Name: "a", Rate: 100}, route: &route.Route{}, configuration: &route.Configuration{}}
+	if response := d.takeQuota(t.Context(), r); response != nil {
+		t.Fatalf("got %+v", response)
+	}
+	first := r.quotaToken
+	r.sends = 1
+	if d.renewQuota(t.Context(), r); r.quotaToken != first {
+		t.Error("a token was replaced that isn't stale")
+	}
+	time.Sleep(quota.MaxValidity + 300*time.Millisecond)
+	if response := d.renewQuota(t.Context(), r); response != nil || r.quotaToken == first {
+		t.Errorf("got %+v, want another token", response)
+	}
+	r.runs, first = 1, r.quotaToken
+	time.Sleep(quota.MaxValidity + 300*time.Millisecond)
+	if d.renewQuota(t.Context(), r); r.quotaToken != first {
+		t.Error("a retry of a request that has run took a second token")
+	}
+}
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -55,6 +55,11 @@
 	isOwn   bool // from the node's own bucket
 }
 
+// IsStale reports whether the token is too old for a request that starts now.
+func (k *Token) IsStale(now time.Duration) bool {
+	return k.account != "" && now >= k.expires+creditTime
+}
+
 // Decision is what Take decides.
 type Decision struct {
 	Verdict    Verdict
@@ -182,7 +187,7 @@
 // Return puts the token of a request back that ended without a start.
 func (t *Table) Return(now time.Duration, token Token) {
 	limit, ok := t.limits[token.account]
-	if !ok || limit.version != token.version || now >= token.expires+creditTime {
+	if !ok || limit.version != token.version || token.IsStale(now) {
 		return
 	}
 	group := GroupOf(token.account)
