Quotas: requests wait while parts move to another home; a test of memory

Cause: while a home stops, its accounts have none for 0.5 s, and their requests got 503. Change: such requests wait for at most 0.7 s and a third of the time that they have left. Measured: go test ./node -run 'Quota|Requests' -count=3 passes; 10,000 accounts used once leave no entries and buckets after 5 s.

--- a/node/quota.go
+++ b/node/quota.go
@@ -17,6 +17,9 @@
 	// quotaWait is how long a request waits for tokens. An answer takes about a millisecond;
 	// a busy home may take longer.
 	quotaWait = 250 * time.Millisecond
+	// maxQuotaHold bounds the wait while no home has parts. It is longer than parts take to move
+	// from a home that stops, which is quota.MaxValidity and a tick.
+	maxQuotaHold = 700 * time.Millisecond
 	// quotaRosterTicks is the number of ticks between two looks at the known instances.
 	quotaRosterTicks = 10
 	// quotaLogTicks is the least number of ticks between two log lines of a kind.
@@ -172,25 +175,42 @@
 	}
 }
 
-// take takes a token for a request of the account. It waits for the account's home if need be.
+// take takes a token for a request of the account. It waits for the account's home if need be,
+// and while parts move to another home for up to a third of the request's remaining time.
 func (q *quotas) take(ctx context.Context, account string) quota.Decision {
 	decision, waiting := q.try(account, false)
-	if decision.Verdict != quota.Wait {
+	if decision.Verdict == quota.Granted || decision.Verdict == quota.Exceeded {
 		return decision
 	}
-	timer := time.NewTimer(quotaWait)
-	defer timer.Stop()
-	for decision.Verdict == quota.Wait {
+	hold := maxQuotaHold
+	if deadline, ok := ctx.Deadline(); ok {
+		hold = min(hold, time.Until(deadline)/3)
+	}
+	held := time.NewTimer(hold)
+	defer held.Stop()
+	for {
+		wait := quotaWait
+		if decision.Verdict == quota.Unavailable {
+			wait = quota.TickInterval // the home may have changed by then
+		}
+		answer := time.NewTimer(wait)
 		select {
 		case <-waiting:
-			decision, waiting = q.try(account, true)
-		case <-timer.C:
+		case <-answer.C:
+			if decision.Verdict == quota.Wait {
+				return q.takeLate(account)
+			}
+		case <-held.C:
 			return q.takeLate(account)
 		case <-ctx.Done():
 			return q.takeLate(account)
 		}
+		answer.Stop()
+		decision, waiting = q.try(account, true)
+		if decision.Verdict == quota.Granted || decision.Verdict == quota.Exceeded {
+			return decision
+		}
 	}
-	return decision
 }
 
 // try decides on a request. If it has to wait, the channel is closed when to try again.
@@ -204,7 +224,9 @@
 			q.mu.waiting[account] = waiting
 		}
 	}
-	q.countRefusal(account, decision)
+	if decision.Verdict == quota.Exceeded {
+		q.countRefusal(account, decision)
+	}
 	q.mu.Unlock()
 	q.send(out)
 	return decision, waiting
--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -186,6 +186,36 @@
 	}
 }
 
+// TestRequestsWaitForAHome guards against refusals of requests while parts move to another home,
+// and against a wait that leaves the caller no time.
+func TestRequestsWaitForAHome(t *testing.T) {
+	t.Parallel()
+	peers := quotaFleet(t, 1, quota.Limit{Rate: 100, Burst: 100})
+	q := peers[0].quotas
+	empty := quota.NewTable(q.clock(), "node-0", 2, quota.Bounds{}) // it has no part for its first seconds
+	empty.Configure(q.clock(), 1, []quota.Account{{Name: "a", Limit: quota.Limit{Rate: 100, Burst: 100}}})
+	q.mu.Lock()
+	full := q.mu.table
+	q.mu.table = empty
+	q.mu.Unlock()
+	time.AfterFunc(200*time.Millisecond, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.mu.table = full
+	})
+	if d := q.take(t.Context(), "a"); d.Verdict != quota.Granted {
+		t.Errorf("%v, want a token of the home that was found meanwhile", d.Verdict)
+	}
+	q.mu.Lock()
+	q.mu.table = empty
+	q.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+	if d := q.take(ctx, "a"); d.Verdict != quota.Unavailable || d.RetryAfter <= 0 {
+		t.Errorf("%+v, want a refusal with a time to come back", d)
+	}
+}
+
 // TestUnlimitedAccountsTakeNothing guards against a wait, or a refusal, of requests that no quota
 // binds.
 func TestUnlimitedAccountsTakeNothing(t *testing.T) {
--- a/quota/calm_test.go
+++ b/quota/calm_test.go
@@ -22,7 +22,13 @@
 		for _, oneNode := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d/%t", nodes, oneNode), func(t *testing.T) {
 				t.Parallel()
-				s := newSim(t, 1, nodes, simAccounts())
+				s := newSim(t, 1, 0, simAccounts())
+				if s.spread = 6 * time.Second; oneNode {
+					s.spread = 2 * time.Second
+				}
+				for range nodes {
+					s.addNode()
+				}
 				const start, surge, end = 8 * time.Second, 14 * time.Second, 22 * time.Second
 				for i, a := range s.accounts {
 					pick := s.anyNode
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -151,7 +151,7 @@
 	return Decision{Verdict: Wait}, t.flush(now)
 }
 
-// TakeLate decides on a request for which no answer came in time.
+// TakeLate decides, for the last time, on a request for which no home answered in time.
 func (t *Table) TakeLate(now time.Duration, account string) Decision {
 	limit, ok := t.limits[account]
 	if !ok {
@@ -160,7 +160,9 @@
 	if e := t.entries[account]; e != nil {
 		e.need = max(e.need-1, 0)
 	}
-	return t.decide(t.takeOwn(now, account, limit))
+	d := t.takeOwn(now, account, limit)
+	t.stats.Decisions[d.Verdict]++
+	return d
 }
 
 // asksItself reports whether the node is the home that it asks.
@@ -179,8 +181,12 @@
 	return Decision{Verdict: Exceeded, RetryAfter: t.homes[GroupOf(account)].buckets[account].untilNext()}
 }
 
+// decide counts a decision. A request without a home may be decided again, and is counted by
+// TakeLate.
 func (t *Table) decide(d Decision) Decision {
-	t.stats.Decisions[d.Verdict]++
+	if d.Verdict != Unavailable {
+		t.stats.Decisions[d.Verdict]++
+	}
 	return d
 }
 
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -107,3 +108,38 @@
 	}
 	s.check(0)
 }
+
+// TestManyAccounts guards against memory that grows with the accounts that were ever used: what
+// nodes keep of them must go when they aren't used, and leave their buckets full.
+func TestManyAccounts(t *testing.T) {
+	var accounts []Account
+	for i := range 10_000 {
+		accounts = append(accounts, Account{fmt.Sprintf("a-%d", i), Limit{10, 10}})
+	}
+	s := newSim(t, 1, 5, accounts)
+	s.run(8 * time.Second)
+	for _, a := range accounts {
+		s.request(s.anyNode(), a.Name)
+	}
+	s.run(9 * time.Second)
+	kept := func() (entries, buckets int) {
+		for _, n := range s.nodes {
+			stats := n.table.Stats(s.clock(n))
+			entries, buckets = entries+stats.Accounts, buckets+stats.Buckets
+		}
+		return entries, buckets
+	}
+	entries, buckets := kept()
+	t.Logf("in use: %d entries, %d buckets", entries, buckets)
+	s.run(14 * time.Second)
+	if entries, buckets = kept(); entries > 0 || buckets > 0 {
+		t.Errorf("%d entries and %d buckets kept of accounts that aren't used", entries, buckets)
+	}
+	for range 10 {
+		s.request(s.nodes[0], "a-0")
+	}
+	s.run(15 * time.Second)
+	if got := s.started("a-0", 14*time.Second, 15*time.Second); got != 10 {
+		t.Errorf("%d of a burst of 10 started", got)
+	}
+}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -28,6 +28,7 @@
 	byName   map[string]*simNode
 	accounts []Account
 	cut      map[[2]int]bool // pairs of nodes that don't reach each other
+	spread   time.Duration   // up to which nodes learn of each other at different times
 	lossRate float64         // of messages
 	lateRate float64         // of messages that are delayed by up to lateBy
 	lateBy   time.Duration
@@ -84,7 +85,7 @@
 
 func newSim(t *testing.T, seed uint64, nodes int, accounts []Account) *sim {
 	s := &sim{
-		t: t, random: rand.New(rand.NewPCG(seed, 7)), byName: map[string]*simNode{}, accounts: accounts, cut: map[[2]int]bool{},
+		t: t, random: rand.New(rand.NewPCG(seed, 7)), spread: 2 * time.Second, byName: map[string]*simNode{}, accounts: accounts, cut: map[[2]int]bool{},
 		wrongly: map[string]int{}, ideal: map[string]*bucket{}, starts: map[string][]time.Duration{}, refused: map[string]map[Verdict]int{},
 	}
 	for range nodes {
@@ -107,15 +108,14 @@
 	s.now = until
 }
 
-// addNode starts a further node. All nodes learn of each other at different times, up to
-// two seconds later.
+// addNode starts a further node. All nodes learn of each other within spread.
 func (s *sim) addNode() *simNode {
 	n := &simNode{index: len(s.nodes), name: fmt.Sprintf("i-%03d", len(s.nodes)), roster: map[string]bool{}}
 	s.nodes, s.byName[n.name] = append(s.nodes, n), n
 	s.start(n)
 	for _, other := range s.nodes {
-		s.after(time.Duration(s.random.Int64N(int64(2*time.Second))), func() { other.roster[n.name] = true })
-		s.after(time.Duration(s.random.Int64N(int64(2*time.Second))), func() { n.roster[other.name] = true })
+		s.after(time.Duration(s.random.Int64N(int64(s.spread))), func() { other.roster[n.name] = true })
+		s.after(time.Duration(s.random.Int64N(int64(s.spread))), func() { n.roster[other.name] = true })
 	}
 	return n
 }
