Quotas: a part returns at once to a home that answers again

Cause: a home that stalled for longer than its peers waited lost all parts until their terms ended. Change: before the term has ended, the part may be delegated to the same home again.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -143,3 +143,24 @@
 		t.Errorf("%d of a burst of 10 started", got)
 	}
 }
+
+// TestHomeStalls guards against a short stall of a home that costs its accounts a whole term.
+func TestHomeStalls(t *testing.T) {
+	s := newSim(t, 2, 88, oneAccount())
+	const stalls, end = 14 * time.Second, 24 * time.Second
+	s.load("a", 1600, 8*time.Second, end, s.anyNode)
+	s.run(stalls)
+	s.freeze(s.byName[s.nodes[0].table.parts[GroupOf("a")].holder], 1300*ms)
+	s.run(end)
+	outage := time.Duration(0)
+	for from := stalls; from < end; from += 100 * ms {
+		if s.started("a", from, from+100*ms) < 4 { // a fifth of the quota
+			outage += 100 * ms
+		}
+	}
+	t.Logf("a stall of 1.3 s cost %v", outage)
+	if outage > 1700*ms {
+		t.Errorf("a stall of 1.3 s cost %v", outage)
+	}
+	s.check(0)
+}
--- a/quota/part.go
+++ b/quota/part.go
@@ -159,6 +159,8 @@
 		p.choice = choice
 	}
 	switch {
+	case p.holder == "" && p.left != "" && p.left == p.choice && t.isReachable(p.left):
+		p.holder, p.left = p.left, "" // it answers again, and no other had the part meanwhile
 	case p.holder == "":
 		if now >= max(p.freeAt, t.startedAt+max(startTerm, term(t.instances))) && t.instances > 0 {
 			p.holder, p.left = p.choice, ""
