--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -186,6 +186,36 @@
 	}
 }
 
+// TestRequestsWaitForAHome guards against refusals of requests while parts move to another home,
+// and against a wait that leaves the caller no time.
+func TestRequestsWaitForAHome(t *testing.T) {
+	t.Parallel()
+	peers := quotaFleet(t, 1, quota.Limit{Rate: 100, Burst: 100})
+	q := peers[0].quotas
+	empty := quota.NewTable(q.clock(), "node-0", 2, quota.Bounds{}) // it has no part for its first seconds
+	empty.Configure(q.clock(), 1, []quota.Account{{Name: "a", Limit: quota.Limit{Rate: 100, Burst: 100}}})
+	q.mu.Lock()
+	full := q.mu.table
+	q.mu.table = empty
+	q.mu.Unlock()
+	time.AfterFunc(200*time.Millisecond, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.mu.table = full
+	})
+	if d := q.take(t.Context(), "a"); d.Verdict != quota.Granted {
+		t.Errorf("%v, want a token of the home that was found meanwhile", d.Verdict)
+	}
+	q.mu.Lock()
+	q.mu.table = empty
+	q.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+	if d := q.take(ctx, "a"); d.Verdict != quota.Unavailable || d.RetryAfter <= 0 {
+		t.Errorf("%+v, want a refusal with a time to come back", d)
+	}
+}
+
 // TestUnlimitedAccountsTakeNothing guards against a wait, or a refusal, of requests that no quota
 // binds.
 func TestUnlimitedAccountsTakeNothing(t *testing.T) {
@@ -196,3 +226,34 @@
 		}
 	}
 }
+
+// TestRequestsHeldUpTakeANewToken guards against requests that are refused by their targets for
+// long and then start beside those of a later window.
+func TestRequestsHeldUpTakeANewToken(t *testing.T) {
+	t.Parallel()
+	peers := quotaFleet(t, 1, quota.Limit{Rate: 100, Burst: 100})
+	settings := &Settings{Name: "node-0"}
+	d := &dispatcher{
+		settings: settings, now: time.Now, tables: newTables(settings, 0), log: decisionLog{logr.Discard()}, metrics: newMetrics(),
+		quotas: peers[0].quotas,
+	}
+	time.Sleep(100 * time.Millisecond)
+	r := &request{Request: &ingress.Request{ArrivedAt: time.Now()}, account: &route.Account{Name: "a", Rate: 100}, route: &route.Route{}, configuration: &route.Configuration{}}
+	if response := d.takeQuota(t.Context(), r); response != nil {
+		t.Fatalf("got %+v", response)
+	}
+	first := r.quotaToken
+	r.sends = 1
+	if d.renewQuota(t.Context(), r); r.quotaToken != first {
+		t.Error("a token was replaced that isn't stale")
+	}
+	time.Sleep(quota.MaxValidity + 300*time.Millisecond)
+	if response := d.renewQuota(t.Context(), r); response != nil || r.quotaToken == first {
+		t.Errorf("got %+v, want another token", response)
+	}
+	r.runs, first = 1, r.quotaToken
+	time.Sleep(quota.MaxValidity + 300*time.Millisecond)
+	if d.renewQuota(t.Context(), r); r.quotaToken != first {
+		t.Error("a retry of a request that has run took a second token")
+	}
+}
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -55,6 +55,11 @@
 	isOwn   bool // from the node's own bucket
 }
 
+// IsStale reports whether the token is too old for a request that starts now.
+func (k *Token) IsStale(now time.Duration) bool {
+	return k.account != "" && now >= k.expires+creditTime
+}
+
 // Decision is what Take decides.
 type Decision struct {
 	Verdict    Verdict
@@ -146,7 +151,7 @@
 	return Decision{Verdict: Wait}, t.flush(now)
 }
 
-// TakeLate decides on a request for which no answer came in time.
+// TakeLate decides, for the last time, on a request for which no home answered in time.
 func (t *Table) TakeLate(now time.Duration, account string) Decision {
 	limit, ok := t.limits[account]
 	if !ok {
@@ -155,7 +160,9 @@
 	if e := t.entries[account]; e != nil {
 		e.need = max(e.need-1, 0)
 	}
-	return t.decide(t.takeOwn(now, account, limit))
+	d := t.takeOwn(now, account, limit)
+	t.stats.Decisions[d.Verdict]++
+	return d
 }
 
 // asksItself reports whether the node is the home that it asks.
@@ -174,15 +181,19 @@
 	return Decision{Verdict: Exceeded, RetryAfter: t.homes[GroupOf(account)].buckets[account].untilNext()}
 }
 
+// decide counts a decision. A request without a home may be decided again, and is counted by
+// TakeLate.
 func (t *Table) decide(d Decision) Decision {
-	t.stats.Decisions[d.Verdict]++
+	if d.Verdict != Unavailable {
+		t.stats.Decisions[d.Verdict]++
+	}
 	return d
 }
 
 // Return puts the token of a request back that ended without a start.
 func (t *Table) Return(now time.Duration, token Token) {
 	limit, ok := t.limits[token.account]
-	if !ok || limit.version != token.version || now >= token.expires+creditTime {
+	if !ok || limit.version != token.version || token.IsStale(now) {
 		return
 	}
 	group := GroupOf(token.account)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -107,3 +108,59 @@
 	}
 	s.check(0)
 }
+
+// TestManyAccounts guards against memory that grows with the accounts that were ever used: what
+// nodes keep of them must go when they aren't used, and leave their buckets full.
+func TestManyAccounts(t *testing.T) {
+	var accounts []Account
+	for i := range 10_000 {
+		accounts = append(accounts, Account{fmt.Sprintf("a-%d", i), Limit{10, 10}})
+	}
+	s := newSim(t, 1, 5, accounts)
+	s.run(8 * time.Second)
+	for _, a := range accounts {
+		s.request(s.anyNode(), a.Name)
+	}
+	s.run(9 * time.Second)
+	kept := func() (entries, buckets int) {
+		for _, n := range s.nodes {
+			stats := n.table.Stats(s.clock(n))
+			entries, buckets = entries+stats.Accounts, buckets+stats.Buckets
+		}
+		return entries, buckets
+	}
+	entries, buckets := kept()
+	t.Logf("in use: %d entries, %d buckets", entries, buckets)
+	s.run(14 * time.Second)
+	if entries, buckets = kept(); entries > 0 || buckets > 0 {
+		t.Errorf("%d entries and %d buckets kept of accounts that aren't used", entries, buckets)
+	}
+	for range 10 {
+		s.request(s.nodes[0], "a-0")
+	}
+	s.run(15 * time.Second)
+	if got := s.started("a-0", 14*time.Second, 15*time.Second); got != 10 {
+		t.Errorf("%d of a burst of 10 started", got)
+	}
+}
+
+// TestHomeStalls guards against a short stall of a home that costs its accounts a whole term.
+func TestHomeStalls(t *testing.T) {
+	s := newSim(t, 2, 88, oneAccount())
+	const stalls, end = 14 * time.Second, 24 * time.Second
+	s.load("a", 1600, 8*time.Second, end, s.anyNode)
+	s.run(stalls)
+	s.freeze(s.byName[s.nodes[0].table.parts[GroupOf("a")].holder], 1300*ms)
+	s.run(end)
+	outage := time.Duration(0)
+	for from := stalls; from < end; from += 100 * ms {
+		if s.started("a", from, from+100*ms) < 4 { // a fifth of the quota
+			outage += 100 * ms
+		}
+	}
+	t.Logf("a stall of 1.3 s cost %v", outage)
+	if outage > 1700*ms {
+		t.Errorf("a stall of 1.3 s cost %v", outage)
+	}
+	s.check(0)
+}
