quota: a fleet that was started as a whole doesn't wait for earlier delegations

Cause: a process that starts waits for the term of its earlier one, whose delegations another home might still hold, even if no process is left that can hold them. Change: if all peers that have answered, eight at least, were started no more than that wait before this process, it delegates at once.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -164,3 +164,33 @@
 	}
 	s.check(0)
 }
+
+// TestFleetRestarts guards against a fleet that grants no quota for the whole term of earlier
+// delegations after all of its processes were killed at once: no process is left that holds them.
+func TestFleetRestarts(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		s := newSim(t, seed, 88, oneAccount())
+		const ends, end = 14 * time.Second, 26 * time.Second
+		s.load("a", 1600, 8*time.Second, end, s.anyNode)
+		s.run(ends)
+		started := ends
+		for _, n := range s.nodes {
+			s.kill(n)
+			after := 500*ms + time.Duration(s.random.Int64N(int64(500*ms)))
+			started = max(started, ends+after)
+			s.after(after, func() { s.start(n) })
+		}
+		s.run(end)
+		outage := time.Duration(0)
+		for from := started; from < end; from += 100 * ms {
+			if s.started("a", from, from+100*ms) == 0 {
+				outage += 100 * ms
+			}
+		}
+		t.Logf("seed %d: no starts for %v after the last process was started", seed, outage)
+		if outage > time.Second {
+			t.Errorf("seed %d: no starts for %v", seed, outage)
+		}
+		s.check(0)
+	}
+}
--- a/quota/part.go
+++ b/quota/part.go
@@ -27,6 +27,8 @@
 	renewalsPerTerm = 4
 	// startTerm is the least time for which a process that was started delegates nothing.
 	startTerm = 2500 * time.Millisecond
+	// minWitnesses is the number of peers whose start shows that the whole fleet was started.
+	minWitnesses = 8
 )
 
 // part is where a node's own parts of the quotas of one group are.
@@ -162,7 +164,8 @@
 	case p.holder == "" && p.left != "" && p.left == p.choice && t.isReachable(p.left):
 		p.holder, p.left = p.left, "" // it answers again, and no other had the part meanwhile
 	case p.holder == "":
-		if now >= max(p.freeAt, t.startedAt+max(startTerm, term(t.instances))) && t.instances > 0 {
+		started := now-t.startedAt >= max(startTerm, term(t.instances)) || t.isFleetStart()
+		if started && now >= p.freeAt && t.instances > 0 {
 			p.holder, p.left = p.choice, ""
 			if !t.isReachable(p.holder) {
 				p.holder = t.instance
@@ -181,6 +184,23 @@
 	}
 }
 
+// isFleetStart reports whether the whole fleet seems to have been started with this process: every
+// peer that has answered it was. Then no process is left that may hold what the earlier process of
+// this instance had delegated, and waiting for its term would leave all accounts without quota.
+func (t *Table) isFleetStart() bool {
+	witnesses := 0
+	for _, p := range t.peers {
+		if p.incarnation == 0 {
+			continue
+		}
+		if p.incarnation < t.incarnation-startTerm.Milliseconds() {
+			return false
+		}
+		witnesses++
+	}
+	return witnesses >= min(minWitnesses, len(t.roster)-1)
+}
+
 // leave ends the delegation of a part to another node. It is free when its term has ended, or
 // earlier if the home confirms that it doesn't use it.
 func (t *Table) leave(now time.Duration, p *part) {
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -44,17 +44,18 @@
 }
 
 type simNode struct {
-	index   int
-	name    string
-	table   *Table
-	offset  time.Duration // of its boot clock
-	process int64
-	isUp    bool
-	frozen  bool
-	held    []func()        // what happens when it wakes
-	roster  map[string]bool // instances that it knows
-	names   []string        // the same, sorted
-	waiting map[string][]*simRequest
+	index       int
+	name        string
+	table       *Table
+	offset      time.Duration // of its boot clock
+	process     int64
+	incarnation int64 // start of the process in milliseconds
+	isUp        bool
+	frozen      bool
+	held        []func()        // what happens when it wakes
+	roster      map[string]bool // instances that it knows
+	names       []string        // the same, sorted
+	waiting     map[string][]*simRequest
 }
 
 type simRequest struct {
@@ -127,7 +128,8 @@
 	}
 	n.process++
 	n.isUp, n.frozen, n.held, n.waiting = true, false, nil, map[string][]*simRequest{}
-	n.table = NewTable(s.clock(n), n.name, n.process, simBounds)
+	n.incarnation = max(n.incarnation+1, s.now.Milliseconds())
+	n.table = NewTable(s.clock(n), n.name, n.incarnation, simBounds)
 	n.table.Configure(s.clock(n), 1, s.accounts)
 	process := n.process
 	var tick func()
--- a/quota/table.go
+++ b/quota/table.go
@@ -33,7 +33,7 @@
 // clock, which goes on while the machine is suspended.
 type Table struct {
 	instance    string
-	incarnation int64
+	incarnation int64 // start of the process in Unix milliseconds
 	bounds      Bounds
 	startedAt   time.Duration
 	version     uint64
