--- a/retrybudget/rejections.go
+++ b/retrybudget/rejections.go
@@ -15,8 +15,9 @@
 	sentTimeConstant    = 200 * time.Millisecond
 	maxSentGain         = 1.0 / 24
 	relayedTimeConstant = 60 * time.Millisecond
-	// shareMaxAge is the age at which a share becomes stale.
-	shareMaxAge = 1500 * time.Millisecond
+	// shareMaxAge is the age at which a share becomes stale. An entry that admits few requests
+	// gets few replies; with 1.5 s, ones with five requests a second admitted all now and then.
+	shareMaxAge = 3 * time.Second
 	// maxShare bounds the retries that are expected for a call.
 	maxShare = 0.9
 )
--- a/returntime/returntime.go
+++ b/returntime/returntime.go
@@ -10,12 +10,13 @@
 // second. It gives half of that room to callers that it has refused, as places one after the
 // other in time. A caller whose turn comes within what it waits gets a place and is admitted
 // when it comes back; as many new requests of its priority yield. Others are told when there
-// would be a place, so that they needn't come back in vain. Whoever comes back before its time
-// is told the rest of it, however often: a try costs nothing and gains nothing.
+// would be a place, so that they needn't come back in vain. Whoever comes back at once, before
+// its time, is told the rest of it, however often: a try costs nothing and gains nothing.
 //
 // A retry has a new ID, so requests are recognized by what their callers can't change between
 // tries. Equal requests of several callers are one here: the first that comes in time has the
-// place, and others are decided on like new ones. The table holds a bounded number of requests;
+// place. Early ones are taken for another caller's, and decided on like new ones, if none was
+// seen for a moment; otherwise a URI that many ask for would be refused to all of them. The table holds a bounded number of requests;
 // the oldest are forgotten first, and are then new requests.
 package returntime
 
@@ -36,6 +37,9 @@
 	earlyTolerance = 15 * time.Millisecond
 	// placeTime is how long a place is kept for a caller that comes late.
 	placeTime = 400 * time.Millisecond
+	// impatientTime is the time after a request within which an equal one is taken for a
+	// further try of the same caller.
+	impatientTime = 150 * time.Millisecond
 	// maxDelay bounds the stated time.
 	maxDelay = 30 * time.Second
 	// maxRequests bounds the requests in each of two generations, and generationTime their age.
@@ -95,6 +99,7 @@
 // told is what a caller was told.
 type told struct {
 	at       time.Time // when to come back
+	seenAt   time.Time // when such a request last arrived
 	hasPlace bool
 	key      queueKey
 }
@@ -114,14 +119,18 @@
 // Arrive returns what is known of a request that arrives, and for an early one how long it
 // still has to wait. A place is used up by the request that is told that it is due.
 func (t *Table) Arrive(now time.Time, fingerprint uint64) (status Status, wait time.Duration) {
-	entry, ok := t.current[fingerprint]
+	entry, ok := t.lookup(fingerprint)
 	if !ok {
-		if entry, ok = t.previous[fingerprint]; !ok {
-			return New, 0
-		}
+		return New, 0
 	}
 	if wait := entry.at.Sub(now); wait > earlyTolerance {
-		return Early, wait
+		isImpatient := now.Sub(entry.seenAt) < impatientTime
+		entry.seenAt = now
+		t.remember(fingerprint, entry)
+		if isImpatient {
+			return Early, wait
+		}
+		return New, 0
 	}
 	delete(t.current, fingerprint)
 	delete(t.previous, fingerprint)
@@ -152,6 +161,9 @@
 // Tell returns after which time the caller of a refused request should come back: not before
 // the time earliest, and with a place if that is at most the time longest.
 func (t *Table) Tell(now time.Time, fingerprint uint64, l Limit, earliest, longest time.Duration) time.Duration {
+	if entry, ok := t.lookup(fingerprint); ok && entry.at.Sub(now) > earlyTolerance {
+		return entry.at.Sub(now) // no second place
+	}
 	q := t.queue(now, l)
 	at := now.Add(earliest)
 	if q.nextFree.After(at) {
@@ -167,10 +179,28 @@
 		delay = max(delay, longest+earliest)
 	}
 	t.rotate(now)
-	t.current[fingerprint] = told{at: now.Add(delay), hasPlace: hasPlace, key: queueKey{l.Service, loadshed.ClampPriority(l.Priority)}}
+	t.current[fingerprint] = told{
+		at: now.Add(delay), seenAt: now, hasPlace: hasPlace, key: queueKey{l.Service, loadshed.ClampPriority(l.Priority)},
+	}
 	return delay
 }
 
+func (t *Table) lookup(fingerprint uint64) (entry told, ok bool) {
+	if entry, ok = t.current[fingerprint]; !ok {
+		entry, ok = t.previous[fingerprint]
+	}
+	return entry, ok
+}
+
+// remember replaces the entry of a request that is remembered.
+func (t *Table) remember(fingerprint uint64, entry told) {
+	generation := t.previous
+	if _, ok := t.current[fingerprint]; ok {
+		generation = t.current
+	}
+	generation[fingerprint] = entry
+}
+
 // rotate begins a new generation when the current one is full or old.
 func (t *Table) rotate(now time.Time) {
 	if len(t.current) < maxRequests && now.Sub(t.rotatedAt) < generationTime {
--- a/returntime/returntime_test.go
+++ b/returntime/returntime_test.go
@@ -56,6 +56,18 @@
 		status, _ = table.Arrive(now.Add(delay), 7)
 		So(status, ShouldEqual, New)
 	})
+	Convey("An equal request of another caller, later, is decided on like a new one, and gets no second place", t, func() {
+		table := NewTable()
+		now := feed(table)
+		table.Tell(now, 1, limit, earliest, longest)
+		delay := table.Tell(now, 7, limit, 3*earliest, longest)
+		later := now.Add(impatientTime + 10*time.Millisecond)
+		status, _ := table.Arrive(later, 7)
+		So(status, ShouldEqual, New)
+		So(table.Tell(later, 7, limit, earliest, longest), ShouldEqual, now.Add(delay).Sub(later))
+		status, _ = table.Arrive(now.Add(delay), 7)
+		So(status, ShouldEqual, Due)
+	})
 	Convey("As many new requests yield as places are used", t, func() {
 		table := NewTable()
 		now := feed(table)
