limiter: the queue of a target is shared by client account

Cause: within a priority the queue was in order of arrival, so an account that sends many requests filled it.

Change: start-time fair queueing by account within a priority, weight = configured rate (1 without one). Requests without an account are one account, so that deployments without accounts keep the order of arrival. Debts end when the queue is empty, which bounds the accounts that are kept. link.Call.Account carries the name; calls of a run inherit it (callgraph.Importance).

Run: go test ./limiter ./node ./node/link ./callgraph ./loadshed: pass.

--- a/callgraph/callgraph.go
+++ b/callgraph/callgraph.go
@@ -67,10 +67,11 @@
 
 // Importance is the importance of a root request, which all of its calls share.
 type Importance struct {
-	Priority int   // 0 is the most important
-	Rank     uint8 // among those of the priority, 0 first
-	Awaited  bool  // responses to other requests wait for this one's
-	Repeated bool  // the run repeats an earlier one of the root request, or of a call of it
+	Priority int    // 0 is the most important
+	Rank     uint8  // among those of the priority, 0 first
+	Awaited  bool   // responses to other requests wait for this one's
+	Account  string // of the client, "" without one
+	Repeated bool   // the run repeats an earlier one of the root request, or of a call of it
 }
 
 // Run is one request that the local target runs.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -5,7 +5,8 @@
 //
 // A target that runs as many requests as it has slots slows down, and its own queue is in
 // order of arrival. So the node sends it requests only for a fraction of the slots, the
-// concurrency limit, and queues the others by priority and, within a priority, by arrival.
+// concurrency limit, and queues the others by priority and, within a priority, in turns by
+// client account, or by arrival where there are none.
 // Requests that would miss their deadline in the queue are refused at once, as not run.
 //
 // A target in need states how many requests per second it takes from all nodes together.
@@ -43,8 +44,11 @@
 type Item struct {
 	Priority int // 0 is the most important
 	Deadline time.Time
-	sequence uint64 // order of arrival in the queue
-	index    int    // in the heap, -1 if not in the queue
+	Account  string  // of the client, "" without one
+	Weight   float64 // of the account
+	tag      float64 // order among the requests of the priority
+	sequence uint64  // order of arrival in the queue
+	index    int     // in the heap, -1 if not in the queue
 }
 
 // Limiter decides which requests run at one target.
@@ -53,6 +57,7 @@
 	running     int
 	inFlight    [loadshed.Priorities]int // requests that run or wait, by priority
 	waiting     queue
+	order       [loadshed.Priorities]fairOrder
 	sequence    uint64
 	meanSeconds float64 // moving average of the time that a request runs for
 	rate        rateLimit
@@ -132,9 +137,12 @@
 		l.inFlight[loadshed.ClampPriority(item.Priority)]++
 		return Run
 	}
+	item.sequence = l.sequence + 1
+	order := &l.order[loadshed.ClampPriority(item.Priority)]
+	item.tag = order.next(item)
 	ahead := 0
 	for _, other := range l.waiting {
-		if other.Priority <= item.Priority {
+		if before(other, item) {
 			ahead++
 		}
 	}
@@ -150,7 +158,7 @@
 		return Refuse
 	}
 	l.sequence++
-	item.sequence = l.sequence
+	order.joined(item)
 	heap.Push(&l.waiting, item)
 	l.inFlight[loadshed.ClampPriority(item.Priority)]++
 	return Wait
@@ -162,6 +170,7 @@
 		return false
 	}
 	heap.Remove(&l.waiting, item.index)
+	l.order[loadshed.ClampPriority(item.Priority)].left()
 	l.inFlight[loadshed.ClampPriority(item.Priority)]--
 	return true
 }
@@ -207,6 +216,7 @@
 	}
 	l.running++
 	item := heap.Pop(&l.waiting).(*Item)
+	l.order[loadshed.ClampPriority(item.Priority)].started(item)
 	l.rate.start(item.Priority)
 	return item
 }
@@ -242,16 +252,22 @@
 	return wait, wait > 0
 }
 
-// queue is a heap of requests, by priority and arrival.
-type queue []*Item
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	if q[i].Priority != q[j].Priority {
-		return q[i].Priority < q[j].Priority
+// before reports whether a request is earlier in the queue than another one.
+func before(a, b *Item) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if a.tag != b.tag {
+		return a.tag < b.tag
 	}
-	return q[i].sequence < q[j].sequence
+	return a.sequence < b.sequence
 }
+
+// queue is a heap of requests.
+type queue []*Item
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return before(q[i], q[j]) }
 func (q queue) Swap(i, j int) {
 	q[i], q[j] = q[j], q[i]
 	q[i].index, q[j].index = i, j
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -164,7 +164,7 @@
 // serveCounted runs a call at the local target.
 func (d *delivery) serveCounted(ctx context.Context, c *link.Call) *link.Reply {
 	deadline := d.now().Add(c.RemainingTime)
-	item := &limiter.Item{Priority: c.Priority, Deadline: deadline}
+	item := &limiter.Item{Priority: c.Priority, Deadline: deadline, Account: c.Account, Weight: d.tables.weightOf(c.Account)}
 	if refused := d.acquireSlot(ctx, c, item); refused != nil {
 		return d.finish(refused, c)
 	}
@@ -179,7 +179,7 @@
 	}
 	defer endProbation()
 	started := d.now()
-	endRun := d.tables.beginRun(c.Route, deadline, callgraph.Importance{Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited, Repeated: c.Repeated})
+	endRun := d.tables.beginRun(c.Route, deadline, callgraph.Importance{Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited, Account: c.Account, Repeated: c.Repeated})
 	reply := d.send(ctx, c, fingerprint, deadline)
 	if reply.Outcome == link.OutcomeResponded {
 		d.completed(fingerprint)
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -69,6 +69,7 @@
 	route          *route.Route
 	service        string
 	account        *route.Account // nil without one
+	rootAccount    string         // name of the account whose root request this call belongs to
 	priority       int            // of the route, or of the root request that this call belongs to
 	rank           uint8          // of the root request, among those of the priority
 	deadline       time.Time
@@ -160,7 +161,8 @@
 	r.origin = t.mu.routeOrigins[r.route.Name]
 	if isCall, importance, inherits := t.mu.graph.ClassifyRequest(r.origin, r.route.Name, r.ArrivedAt.Add(r.RemainingTime)); isCall {
 		if inherits {
-			r.priority, r.rank, r.Awaited, r.repeated = importance.Priority, importance.Rank, importance.Awaited, importance.Repeated
+			r.priority, r.rank, r.Awaited = importance.Priority, importance.Rank, importance.Awaited
+			r.repeated, r.rootAccount = importance.Repeated, importance.Account
 		}
 		return nil // the parent runs already, and a refusal would waste its work
 	}
@@ -276,7 +278,7 @@
 		RequestID: r.RequestID, TargetID: record.Target.ID, Service: r.service, Route: r.route.Name,
 		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		RemainingTime: r.deadline.Sub(d.now()), CallerService: d.settings.Service, Priority: r.priority, Rank: r.rank, Awaited: r.Awaited,
-		Retry: r.arrivals > 0, Repeated: r.repeated || r.runs > 0,
+		Account: r.accountName(), Retry: r.arrivals > 0, Repeated: r.repeated || r.runs > 0,
 	}
 	r.sends++
 	r.sentAt = d.now()
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -22,6 +22,7 @@
 	Body          []byte
 	RemainingTime time.Duration // until the deadline
 	CallerService string        // service of the entry node's target
+	Account       string        // name of the root request's client account, "" without one
 	// Priority, Rank and Awaited are those of the root request that the call belongs to.
 	Priority int
 	Rank     uint8
--- a/node/link/symbols_test.go
+++ b/node/link/symbols_test.go
@@ -15,7 +15,7 @@
 			call := &Call{
 				RequestID: fmt.Sprintf("id-%d", i), TargetID: "t", Service: "s", Route: "r", Method: "GET",
 				URI: "/a", Host: "h", Header: []string{"Accept", "*/*", "Trace", fmt.Sprint(i)},
-				Body: []byte("body"), RemainingTime: 250 * time.Millisecond, CallerService: "c", Priority: 2, Retry: true, Repeated: true,
+				Body: []byte("body"), RemainingTime: 250 * time.Millisecond, CallerService: "c", Priority: 2, Account: "acme", Retry: true, Repeated: true,
 			}
 			wire := encoder.call(call)
 			So(decoder.define(encoder.takeDefined()), ShouldBeTrue)
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -45,6 +45,7 @@
 	Priority  int
 	Rank      uint8
 	Awaited   bool
+	Account   text
 	Retry     bool
 	Repeated  bool
 }
@@ -82,16 +83,24 @@
 		Envelope: e.text(joinEnvelope(c)), RequestID: c.RequestID, URI: c.URI,
 		Header: e.fields(sortFields(c.Header)), Body: c.Body,
 		TimeLeft: uint32(max(c.RemainingTime/remainingTimeUnit, 0)), Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited,
-		Retry: c.Retry, Repeated: c.Repeated,
+		Account: e.account(c.Account), Retry: c.Retry, Repeated: c.Repeated,
 	}
 }
 
+// account returns the wire form of an account's name, which takes no bytes without one.
+func (e *symbolEncoder) account(name string) text {
+	if name == "" {
+		return text{}
+	}
+	return e.text(name)
+}
+
 // call returns nil if the envelope of the call is invalid.
 func (d *symbolDecoder) call(w *wireCall) *Call {
 	c := &Call{
 		RequestID: w.RequestID, URI: w.URI, Header: d.fields(w.Header), Body: w.Body,
 		RemainingTime: time.Duration(w.TimeLeft) * remainingTimeUnit, Priority: w.Priority, Rank: w.Rank, Awaited: w.Awaited,
-		Retry: w.Retry, Repeated: w.Repeated,
+		Account: d.text(w.Account), Retry: w.Retry, Repeated: w.Repeated,
 	}
 	if !c.setEnvelope(d.text(w.Envelope)) {
 		return nil
