--- a/loadshed/costs.go
+++ b/loadshed/costs.go
@@ -92,6 +92,15 @@
 	return nil
 }
 
+// WorkTime returns the time of all services' targets that a request of the route takes.
+func (c *Costs) WorkTime(route string) time.Duration {
+	sum := time.Duration(0)
+	for _, cost := range c.ByService(route) {
+		sum += cost.Time
+	}
+	return sum
+}
+
 // Arrive records the arrival of a request of the route and returns how to decide on it.
 func (c *Costs) Arrive(now time.Time, route string) CostStatus {
 	r := c.route(route)
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -167,7 +167,7 @@
 // serveCounted runs a call at the local target.
 func (d *delivery) serveCounted(ctx context.Context, c *link.Call) *link.Reply {
 	deadline := d.now().Add(c.RemainingTime)
-	item := &limiter.Item{Priority: c.Priority, Deadline: deadline}
+	item := &limiter.Item{Priority: c.Priority, Deadline: deadline, Account: c.RootAccount, Weight: d.tables.weightOf(c.RootAccount)}
 	if refused := d.acquireSlot(ctx, c, item); refused != nil {
 		return d.finish(refused, c)
 	}
@@ -182,7 +182,7 @@
 	}
 	defer endProbation()
 	started := d.now()
-	endRun := d.tables.beginRun(c.Route, deadline, callgraph.Importance{Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited, Repeated: c.Repeated})
+	endRun := d.tables.beginRun(c.Route, deadline, callgraph.Importance{Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited, Account: c.RootAccount, Repeated: c.Repeated})
 	reply := d.send(ctx, c, fingerprint, deadline)
 	reply.Duration = d.now().Sub(started)
 	endRun(reply.Duration)
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -74,8 +74,9 @@
 	route          *route.Route
 	account        *route.Account // nil without one
 	service        string
-	priority       int   // of the account and the route, or of the root request that this call belongs to
-	rank           uint8 // of the root request, among those of the priority
+	rootAccount    string // name of the account whose root request this call belongs to
+	priority       int    // of the account and the route, or of the root request that this call belongs to
+	rank           uint8  // of the root request, among those of the priority
 	deadline       time.Time
 	origin         callgraph.Origin
 	sentAt         time.Time // when it was last sent
@@ -92,6 +93,7 @@
 	choice         balance.Choice   // of the last target
 	repeated       bool             // belongs to a run that repeats an earlier one
 	limit          returntime.Limit // by which it was admitted or refused; no service if by none
+	workTime       time.Duration    // of targets, its calls included, as far as its route's cost is known
 	uncarried      bool             // retries of rejected sends don't suffice for it
 	denials        int              // retries that the budget had no room for
 	crashes        int              // runs that were lost because the target crashed
@@ -174,7 +176,8 @@
 	r.origin = t.mu.routeOrigins[r.route.Name]
 	if isCall, importance, inherits := t.mu.graph.ClassifyRequest(r.origin, r.route.Name, r.ArrivedAt.Add(r.RemainingTime)); isCall {
 		if inherits {
-			r.priority, r.rank, r.Awaited, r.repeated = importance.Priority, importance.Rank, importance.Awaited, importance.Repeated
+			r.priority, r.rank, r.Awaited = importance.Priority, importance.Rank, importance.Awaited
+			r.repeated, r.rootAccount = importance.Repeated, importance.Account
 		}
 		return nil // the parent runs already, and a refusal would waste its work
 	}
@@ -202,6 +205,7 @@
 		r.slowStart = true
 	}
 	r.limit = returntime.Limit{Service: decision.Service, Priority: r.priority, Share: decision.Share}
+	r.workTime = t.mu.costs.WorkTime(r.route.Name)
 	if decision.Admit = d.returns.decide(now, r, decision.Admit); decision.Admit {
 		return nil
 	}
@@ -297,8 +301,7 @@
 		RequestID: r.RequestID, TargetID: record.Target.ID, Service: r.service, Route: r.route.Name,
 		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, Rest: r.Rest,
 		RemainingTime: r.deadline.Sub(d.now()), CallerService: d.settings.Service, Priority: r.priority, Rank: r.rank, Awaited: r.Awaited,
-		Account: r.accountName(),
-		Retry:   r.arrivals > 0, Repeated: r.repeated || r.runs > 0,
+		Account: r.accountName(), RootAccount: r.rootAccountName(), Retry: r.arrivals > 0, Repeated: r.repeated || r.runs > 0,
 	}
 	r.sends++
 	r.sentAt = d.now()
--- a/node/explain.go
+++ b/node/explain.go
@@ -100,7 +100,7 @@
 		return out
 	}
 	out.Route, out.NeedsKey = matched.Name, c.NeedsKey(matched)
-	holder := accountNamed(c, account)
+	holder := c.AccountByName(account)
 	switch {
 	case account != "" && holder == nil:
 		out.Refused = "no account has that name"
@@ -114,16 +114,6 @@
 	return out
 }
 
-// accountNamed returns the account with the name, nil if there is none.
-func accountNamed(c *route.Configuration, name string) *route.Account {
-	for i := range c.Accounts {
-		if name != "" && c.Accounts[i].Name == name {
-			return &c.Accounts[i]
-		}
-	}
-	return nil
-}
-
 // describeCandidates adds the pressures and the candidate targets of the route.
 func (n *Node) describeCandidates(out *Explanation, matched *route.Route, awaited bool) {
 	now, t, sum := n.now(), n.tables, 0.0
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -24,7 +24,8 @@
 	Rest          [][]byte      // parts of a long body that follow Body
 	RemainingTime time.Duration // until the deadline
 	CallerService string        // service of the entry node's target
-	Account       string        // name of the caller's account, "" without one
+	Account       string        // name of the caller's account, "" without one and for calls of targets
+	RootAccount   string        // name of the root request's account, for fair shares; "" without one
 	// Priority, Rank and Awaited are those of the root request that the call belongs to.
 	Priority int
 	Rank     uint8
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -54,7 +54,8 @@
 	Priority  int
 	Rank      uint8
 	Awaited   bool
-	Account   text
+	Account   text // of the root request
+	Inherited bool // the call itself names no account
 	Retry     bool
 	Repeated  bool
 }
@@ -93,8 +94,8 @@
 		Envelope: e.text(joinEnvelope(c)), RequestID: c.RequestID, URI: c.URI,
 		Header: e.fields(sortFields(c.Header)), Body: c.Body, Rest: int64(memory.Size(nil, c.Rest)),
 		TimeLeft: uint32(max(c.RemainingTime/remainingTimeUnit, 0)), Priority: c.Priority, Rank: c.Rank, Awaited: c.Awaited,
-		Account: e.optional(c.Account),
-		Retry:   c.Retry, Repeated: c.Repeated,
+		Account: e.optional(c.RootAccount), Inherited: c.RootAccount != c.Account,
+		Retry: c.Retry, Repeated: c.Repeated,
 	}
 }
 
@@ -103,8 +104,10 @@
 	c := &Call{
 		RequestID: w.RequestID, URI: w.URI, Header: d.fields(w.Header), Body: w.Body,
 		RemainingTime: time.Duration(w.TimeLeft) * remainingTimeUnit, Priority: w.Priority, Rank: w.Rank, Awaited: w.Awaited,
-		Account: d.text(w.Account),
-		Retry:   w.Retry, Repeated: w.Repeated,
+		RootAccount: d.text(w.Account), Retry: w.Retry, Repeated: w.Repeated,
+	}
+	if !w.Inherited {
+		c.Account = c.RootAccount
 	}
 	if !c.setEnvelope(d.text(w.Envelope)) {
 		return nil
--- a/node/returns.go
+++ b/node/returns.go
@@ -67,10 +67,10 @@
 }
 
 // tell returns after which time the caller of the refused request should come back.
-func (s *returns) tell(now time.Time, r *request, earliest, longest time.Duration) time.Duration {
+func (s *returns) tell(now time.Time, r *request, earliest, useful, longest time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mu.table.Tell(now, returnFingerprint(r), r.limit, earliest, longest)
+	return s.mu.table.Tell(now, returnFingerprint(r), r.limit, earliest, useful, longest)
 }
 
 // refuseEarly refuses a request that comes back before the time that its caller was told.
@@ -124,5 +124,5 @@
 		return max(min(time.Duration(fraction*float64(objective)), longest), minRetryAfter)
 	}
 	earliest := max(min(time.Duration(minReturnFraction*float64(objective)), longest), minRetryAfter)
-	return d.returns.tell(now, r, earliest, longest)
+	return d.returns.tell(now, r, earliest, objective-r.workTime, longest)
 }
--- a/quota/part.go
+++ b/quota/part.go
@@ -198,7 +198,7 @@
 		}
 		witnesses++
 	}
-	return witnesses >= min(minWitnesses, len(t.roster)-1)
+	return witnesses >= max(min(minWitnesses, len(t.roster)-1), 1)
 }
 
 // leave ends the delegation of a part to another node. It is free when its term has ended, or
--- a/returntime/returntime_test.go
+++ b/returntime/returntime_test.go
@@ -33,7 +33,7 @@
 		placed := 0
 		var latest time.Duration
 		for i := range uint64(100) {
-			delay := table.Tell(now, i, limit, earliest, longest)
+			delay := table.Tell(now, i, limit, earliest, longest, longest)
 			So(delay, ShouldBeGreaterThanOrEqualTo, latest)
 			if latest = delay; delay <= longest {
 				placed++
@@ -45,7 +45,7 @@
 	Convey("A caller that comes at its time is due, once; early it is told the rest, however often", t, func() {
 		table := NewTable()
 		now := feed(table)
-		delay := table.Tell(now, 7, limit, earliest, longest)
+		delay := table.Tell(now, 7, limit, earliest, longest, longest)
 		for wait := time.Duration(0); wait < delay-earlyTolerance; wait += 10 * time.Millisecond {
 			status, rest := table.Arrive(now.Add(wait), 7)
 			So(status, ShouldEqual, Early)
@@ -56,10 +56,22 @@
 		status, _ = table.Arrive(now.Add(delay), 7)
 		So(status, ShouldEqual, New)
 	})
+	Convey("An equal request of another caller, later, is decided on like a new one, and gets no second place", t, func() {
+		table := NewTable()
+		now := feed(table)
+		table.Tell(now, 1, limit, earliest, longest, longest)
+		delay := table.Tell(now, 7, limit, 3*earliest, longest, longest)
+		later := now.Add(impatientTime + 10*time.Millisecond)
+		status, _ := table.Arrive(later, 7)
+		So(status, ShouldEqual, New)
+		So(table.Tell(later, 7, limit, earliest, longest, longest), ShouldEqual, now.Add(delay).Sub(later))
+		status, _ = table.Arrive(now.Add(delay), 7)
+		So(status, ShouldEqual, Due)
+	})
 	Convey("As many new requests yield as places are used", t, func() {
 		table := NewTable()
 		now := feed(table)
-		delay := table.Tell(now, 7, limit, earliest, longest)
+		delay := table.Tell(now, 7, limit, earliest, longest, longest)
 		_, _ = table.Arrive(now.Add(delay), 7)
 		So(table.Admitted(now.Add(delay), limit), ShouldBeFalse)
 		So(table.Admitted(now.Add(delay), limit), ShouldBeTrue)
@@ -67,21 +79,33 @@
 	Convey("A place isn't kept for a caller that comes much too late, nor is there one where nothing is admitted", t, func() {
 		table := NewTable()
 		now := feed(table)
-		delay := table.Tell(now, 7, limit, earliest, longest)
+		delay := table.Tell(now, 7, limit, earliest, longest, longest)
 		status, _ := table.Arrive(now.Add(delay+time.Second), 7)
 		So(status, ShouldEqual, New)
 		closed := limit
 		closed.Share = 0
-		delay = table.Tell(now, 8, closed, earliest, longest)
+		delay = table.Tell(now, 8, closed, earliest, longest, longest)
 		So(delay, ShouldBeGreaterThan, longest)
 		status, _ = table.Arrive(now.Add(delay), 8)
 		So(status, ShouldEqual, New)
 	})
+	// Guards against places so late that the response misses its objective, while a new request
+	// that would meet it yields.
+	Convey("There is no place after the time at which a response is still useful", t, func() {
+		table := NewTable()
+		now := feed(table)
+		for i := range uint64(20) {
+			delay := table.Tell(now, i, limit, earliest, longest/2, longest)
+			if delay > longest/2 {
+				So(delay, ShouldBeGreaterThan, longest)
+			}
+		}
+	})
 	Convey("The number of remembered requests is bounded", t, func() {
 		table := NewTable()
 		now := feed(table)
 		for i := range uint64(10 * maxRequests) {
-			table.Tell(now, i, limit, earliest, longest)
+			table.Tell(now, i, limit, earliest, longest, longest)
 		}
 		So(len(table.current)+len(table.previous), ShouldBeLessThanOrEqualTo, 2*maxRequests)
 		So(len(table.queues), ShouldEqual, 1)
@@ -122,7 +146,7 @@
 					table.Refused(now, limit)
 				}
 				if !isServed {
-					delay = table.Tell(now, fingerprint, limit, earliest, longest)
+					delay = table.Tell(now, fingerprint, limit, earliest, longest, longest)
 				}
 			}
 		} else {
--- a/route/account.go
+++ b/route/account.go
@@ -28,6 +28,9 @@
 // AccountByKey returns the account that holds the key, or nil if none does.
 func (c *Configuration) AccountByKey(key string) *Account { return c.byKey[DigestOf(key)] }
 
+// AccountByName returns the account of that name, or nil if there is none.
+func (c *Configuration) AccountByName(name string) *Account { return c.byName[name] }
+
 // NeedsKey reports whether a request on the route must carry the key of an account.
 func (c *Configuration) NeedsKey(r *Route) bool { return len(c.Accounts) > 0 && !r.Public }
 
@@ -52,11 +55,12 @@
 
 // indexAccounts builds the indexes that AccountByKey and PriorityOf use.
 func (c *Configuration) indexAccounts() {
-	c.byKey = make(map[KeyDigest]*Account)
+	c.byKey, c.byName = make(map[KeyDigest]*Account), make(map[string]*Account, len(c.Accounts))
 	hasPriority := false
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
 		hasPriority = hasPriority || a.HasPriority
+		c.byName[a.Name] = a
 		for _, digest := range a.Keys {
 			c.byKey[digest] = a
 		}
--- a/route/configuration.go
+++ b/route/configuration.go
@@ -51,6 +51,7 @@
 
 	byHost      map[string][]*Route // by lower-case host; longest path prefix first
 	byKey       map[KeyDigest]*Account
+	byName      map[string]*Account
 	importances []importance // sorted; nil if no account states a priority
 }
 
