The stated slowdown corrects as far as its changes have lasted

It changes many times a second, and entries use it some tenths of a second late.

Tests: go test ./servicetime ./balance ./node pass.

--- a/servicetime/estimator.go
+++ b/servicetime/estimator.go
@@ -9,7 +9,9 @@
 // A target may also state how long work takes on its instance at present, as a multiple of the
 // usual time. That figure is newer than the average but may be wrong, so it only scales the
 // average, by its present value over its mean in the time that the average covers: a figure
-// that is constantly too high or too low changes nothing.
+// that is constantly too high or too low changes nothing. How long a change of the figure lasts
+// differs between targets; the correction is reduced to the part of earlier changes that was
+// left when the next requests came.
 package servicetime
 
 import (
@@ -24,10 +26,8 @@
 	// minGain and maxGain bound the weight of one request: a target with many requests
 	// averages over some of them, and one that is seldom used doesn't follow a straggler.
 	minGain, maxGain = 0.05, 0.3
-	// statedHorizon is the time constant of the present slowdown. The figure changes many
-	// times a second and reaches entries some tenths of a second old, so that its faster
-	// changes predict nothing.
-	statedHorizon = 400 * time.Millisecond
+	// statedHorizon is the time constant of the present slowdown.
+	statedHorizon = 100 * time.Millisecond
 	// maxStatedAge is how long a stated slowdown is used.
 	maxStatedAge = 2 * time.Second
 	// minStated and maxStated bound a stated slowdown, and maxCorrection the factor by
@@ -41,6 +41,7 @@
 	routes   map[string]*routeMeans
 	stated   float64 // present slowdown, 0 before the first statement
 	statedAt time.Time
+	trend    trend
 }
 
 // routeMeans holds moving averages over the requests of a route.
@@ -51,7 +52,7 @@
 }
 
 // New returns an estimator without any observations.
-func New() *Estimator { return &Estimator{routes: map[string]*routeMeans{}} }
+func New() *Estimator { return &Estimator{routes: map[string]*routeMeans{}, trend: newTrend()} }
 
 // Reset drops all observations, as for a new target.
 func (e *Estimator) Reset() { *e = *New() }
@@ -64,6 +65,7 @@
 	} else {
 		e.stated += gain(now.Sub(e.statedAt), statedHorizon) * (slowdown - e.stated)
 	}
+	e.trend.observe(now, e.stated)
 	e.statedAt = now
 }
 
@@ -89,7 +91,8 @@
 	if m == nil {
 		return 0
 	}
-	correction := min(max(e.present(now)/m.stated, 1/maxCorrection), maxCorrection)
+	correction := math.Pow(e.present(now)/m.stated, e.trend.persistence())
+	correction = min(max(correction, 1/maxCorrection), maxCorrection)
 	return time.Duration(m.seconds * correction * float64(time.Second))
 }
 
