Quotas: 503 rather than 429 where a home without the majority refuses

Cause: in a partition the quota itself may have room, and 429 states that it has none. Change: grants tell whether their home holds the majority of the parts. Tokens that are given back join those that expire with them, so that many of them don't slow the next request.

--- a/node/quota.go
+++ b/node/quota.go
@@ -268,7 +268,7 @@
 		return nil
 	case ctx.Err() != nil:
 		return d.giveUp(ctx, r, "ended")
-	case decision.Verdict == quota.Exceeded:
+	case decision.Verdict == quota.Exceeded && !decision.IsPartial:
 		response := refusal(max(decision.RetryAfter, minQuotaRetry))
 		response.Status = http.StatusTooManyRequests
 		return d.end(r, response, "over-quota")
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -65,6 +65,9 @@
 	Verdict    Verdict
 	Token      Token         // if granted
 	RetryAfter time.Duration // if refused
+	// IsPartial tells that a home without the majority of the parts refused: the quota itself
+	// may have room.
+	IsPartial bool
 }
 
 // batch is a number of tokens that expire together.
@@ -78,6 +81,7 @@
 	batches      []batch
 	refusedUntil time.Duration
 	unavailable  bool // the last answer was that of a home without parts
+	isPartial    bool // it was that of a home without the majority
 	rate         float64
 	rateAt       time.Duration
 	need         int   // requests that wait and aren't asked for yet
@@ -105,6 +109,17 @@
 	return sum
 }
 
+// add adds tokens to those that expire at the same time.
+func (e *entry) add(tokens batch) {
+	for i := range e.batches {
+		if e.batches[i].expires == tokens.expires {
+			e.batches[i].tokens += tokens.tokens
+			return
+		}
+	}
+	e.batches = append(e.batches, tokens)
+}
+
 func (e *entry) want() int { return int(min(e.rate*askAhead.Seconds(), maxAsk)) }
 
 // Take decides on a request of the account. isRepeated is set when the request was decided
@@ -141,7 +156,7 @@
 		if e.unavailable {
 			return t.decide(t.takeOwn(now, account, limit)), nil
 		}
-		return t.decide(Decision{Verdict: Exceeded, RetryAfter: e.refusedUntil - now}), nil
+		return t.decide(Decision{Verdict: Exceeded, RetryAfter: e.refusedUntil - now, IsPartial: e.isPartial}), nil
 	}
 	if !t.isReachable(t.parts[group].choice) {
 		return t.decide(t.takeOwn(now, account, limit)), nil
@@ -178,7 +193,7 @@
 	case g.Unknown || !t.parts[GroupOf(account)].asksItself(t):
 		return Decision{Verdict: Unavailable, RetryAfter: unavailableRetry}
 	}
-	return Decision{Verdict: Exceeded, RetryAfter: t.homes[GroupOf(account)].buckets[account].untilNext()}
+	return Decision{Verdict: Exceeded, RetryAfter: g.RetryAfter, IsPartial: g.Partial}
 }
 
 // decide counts a decision. A request without a home may be decided again, and is counted by
@@ -213,7 +228,7 @@
 	}
 	t.stats.Returned++
 	if now < token.expires {
-		e.batches = append(e.batches, batch{1, token.expires})
+		e.add(batch{1, token.expires})
 		return
 	}
 	e.returned, e.returnedAt = e.returned+1, now
@@ -285,9 +300,10 @@
 			e.unavailable, e.refusedUntil = true, now+TickInterval
 			continue
 		}
-		e.batches = append(e.batches, batch{g.Tokens, m.Answer.Echo + g.Valid}, batch{g.Ahead, m.Answer.Echo + g.AheadValid})
+		e.add(batch{g.Tokens, m.Answer.Echo + g.Valid})
+		e.add(batch{g.Ahead, m.Answer.Echo + g.AheadValid})
 		if g.RetryAfter > 0 {
-			e.unavailable, e.refusedUntil = false, max(e.refusedUntil, now+g.RetryAfter)
+			e.unavailable, e.isPartial, e.refusedUntil = false, g.Partial, max(e.refusedUntil, now+g.RetryAfter)
 		}
 	}
 	return wake
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -34,14 +34,14 @@
 }
 
 // TestGoneForGood guards against a quota that stays unused because the roster holds instances
-// that will never return: up to four of 88.
+// that will never return: up to seven of 88.
 func TestGoneForGood(t *testing.T) {
 	s := newSim(t, 1, 88, oneAccount())
-	for _, n := range s.nodes[:4] {
+	for _, n := range s.nodes[:7] {
 		s.kill(n)
 	}
 	const end = 26 * time.Second
-	s.load("a", 1600, 8*time.Second, end, func() *simNode { return s.nodes[4+s.random.IntN(84)] })
+	s.load("a", 1600, 8*time.Second, end, func() *simNode { return s.nodes[7+s.random.IntN(81)] })
 	s.run(end)
 	used := s.usable("a", 14*time.Second, end)
 	t.Logf("%.3f of the quota used", used)
@@ -103,6 +103,9 @@
 	s.run(end)
 	used := s.usable("a", cut+10*time.Second, end)
 	t.Logf("%.3f of the quota used, %v refused", used, s.refused["a"])
+	if d, _ := alone.table.Take(s.clock(alone), "a", false); d.Verdict == Exceeded && !d.IsPartial {
+		t.Error("a node that is cut off states that the quota is exceeded")
+	}
 	if used < 0.095 || used > 0.105 {
 		t.Errorf("a node of 10 that is cut off used %.3f of the quota", used)
 	}
--- a/quota/message.go
+++ b/quota/message.go
@@ -61,6 +61,9 @@
 	// RetryAfter is when to ask again after a refusal, 0 if nothing was refused.
 	RetryAfter time.Duration
 	Unknown    bool // the sender has no part of the account's quota
+	// Partial tells that the sender doesn't hold the majority of the parts, so that a refusal
+	// doesn't show that the quota is exceeded.
+	Partial bool
 }
 
 // Outgoing is a message and the instance that it is for.
--- a/quota/receive.go
+++ b/quota/receive.go
@@ -132,7 +132,7 @@
 	// together at most once per holdPerInstance, on average.
 	minHold         = 30 * time.Millisecond
 	holdPerInstance = 500 * time.Microsecond
-	maxHold         = 2 * time.Second
+	maxHold         = 5 * time.Second
 )
 
 // grant grants what the account's bucket holds.
@@ -154,7 +154,7 @@
 	b.take(g.Ahead, g.AheadValid)
 	if g.Tokens < a.Need {
 		hold := max(minHold, time.Duration(len(h.delegations))*holdPerInstance, b.untilNext())
-		g.RetryAfter = min(hold, maxHold)
+		g.RetryAfter, g.Partial = min(hold, maxHold), !isMajority(h.sum)
 	}
 	return g
 }
