Only some nodes watch the configuration while proofs spread

Cause: each change of the configuration ended the watch of every node, which costs two calls a node and change.

Change: with accounts and bounds.failClosed, two nodes of each failure domain, chosen by hash, wait for changes at the store. The others do so only if their proof is older than 0.4 of the bound (2 s): a younger one shows that all that was acknowledged before is in force. They pull a version that a peer reports within 30 ms in place of 300 ms. A follower whose Watches says so makes no calls, and reads before it watches again. Other deployments are as before.

--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -17,6 +17,9 @@
 	// the node asks peers and reads the store.
 	askFraction  = 0.3
 	readFraction = 0.6
+	// watchFraction is the age of the proof, as a fraction of the bound, up to which a node needs
+	// no watch of its own: what was acknowledged before is in force.
+	watchFraction = 0.4
 	// readSpreadFraction of the time from readFraction until the proof expires is that over
 	// which the nodes' first reads are spread.
 	readSpreadFraction = 0.5
@@ -243,6 +246,12 @@
 	return action
 }
 
+// NeedsWatch reports whether the node is to wait for changes of the configuration at the store,
+// although others do.
+func (t *Tracker) NeedsWatch(now time.Duration) bool {
+	return t.current == nil || now-t.current.At > t.fraction(watchFraction)
+}
+
 // untilRead returns the time until the proof is so old that the node reads the store.
 func (t *Tracker) untilRead(now time.Duration) time.Duration {
 	if t.current == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -199,6 +199,9 @@
 		n.platform.Configurations = &provingSource{n.platform.Configurations, n.proofs}
 	}
 	n.buildFollowers()
+	if n.proofs != nil {
+		n.configurations.Watches = n.proofs.watches
+	}
 	n.addGauges()
 	p.Epochs.OnChange(n.epochChanged)
 	return n
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,10 @@
 	"github.com/gypsumford/gypsumford/route"
 )
 
+// unwatchedPullDelay bounds the pause that replaces peerPullDelay on a node that doesn't wait for
+// changes at the store. It spreads the pulls of the nodes.
+const unwatchedPullDelay = 30 * time.Millisecond
+
 // Serve runs a call from a peer at the local target.
 func (n *Node) Serve(ctx context.Context, c *link.Call) *link.Reply { return n.delivery.serve(ctx, c) }
 
@@ -42,7 +47,11 @@
 	if v <= n.Version() || !n.pulling.CompareAndSwap(false, true) {
 		return
 	}
-	time.AfterFunc(peerPullDelay, func() {
+	delay := peerPullDelay
+	if n.proofs != nil && !n.proofs.watches() {
+		delay = rand.N(unwatchedPullDelay)
+	}
+	time.AfterFunc(delay, func() {
 		n.pulling.Store(false)
 		if v > n.Version() {
 			pull()
--- a/node/proofs.go
+++ b/node/proofs.go
@@ -19,6 +19,8 @@
 	proofQuestions = 3
 	// proofsUnneededWait is the time between checks while the configuration has no accounts.
 	proofsUnneededWait = 1 * time.Second
+	// watcherInterval is how long the choice of the nodes that wait for changes is kept.
+	watcherInterval = 2 * time.Second
 )
 
 // proofs keeps the node's proof that its configuration is recent, and exchanges proofs with
@@ -32,6 +34,10 @@
 		sync.Mutex
 		tracker *freshness.Tracker
 		proven  bool // as it was logged last
+		// watcher is whether the node is among those that wait for changes of the
+		// configuration, as it was found at watcherAt.
+		watcher   bool
+		watcherAt time.Duration
 	}
 }
 
@@ -137,6 +143,37 @@
 	return action.Wait
 }
 
+// watches reports whether the node is to wait for changes of the configuration at the store:
+// only some nodes do, as long as their proofs spread. A young proof shows that what was
+// acknowledged before is in force.
+func (p *proofs) watches() bool {
+	if c := p.node.tables.inForce.Load(); c == nil || len(c.Accounts) == 0 {
+		return true
+	}
+	p.mu.Lock()
+	now := p.now()
+	needed := p.mu.tracker.NeedsWatch(now)
+	watcher, known := p.mu.watcher, p.mu.watcherAt > 0 && now-p.mu.watcherAt < watcherInterval
+	p.mu.Unlock()
+	if needed || known {
+		return needed || watcher
+	}
+	watcher = p.isWatcher()
+	p.mu.Lock()
+	p.mu.watcher, p.mu.watcherAt = watcher, now
+	p.mu.Unlock()
+	return watcher
+}
+
+// isWatcher reports whether the node is among those that wait for changes of the configuration.
+func (p *proofs) isWatcher() bool {
+	var instances []freshness.Instance
+	for _, r := range p.node.others() {
+		instances = append(instances, freshness.Instance{Name: r.Instance, Domain: r.Domain})
+	}
+	return freshness.IsWatcher(freshness.Instance{Name: p.node.settings.Name, Domain: p.node.settings.Domain}, instances)
+}
+
 // ask asks connected peers for proofs. If there are few, or dial is set, it asks another one, too.
 func (p *proofs) ask(ctx context.Context, dial bool) {
 	p.count("asked")
--- a/node/store/follower.go
+++ b/node/store/follower.go
@@ -18,6 +18,8 @@
 	responseMargin = 1500 * time.Millisecond
 	readTimeout    = 1 * time.Second
 	minBackoff     = 100 * time.Millisecond
+	// idleInterval is the time between checks whether the follower is to wait at its source.
+	idleInterval = 250 * time.Millisecond
 	// maxBackoff bounds the mean pause after a failed call if Follower.MaxBackoff isn't set.
 	maxBackoff = 1 * time.Second
 )
@@ -48,6 +50,10 @@
 	// from that state's revision, so no change is lost. It is optional.
 	ReadAfterChange func(ctx context.Context) ([]Change[T], epoch.Revision, error)
 
+	// Watches reports whether to wait for changes at the source. While it doesn't, others tell
+	// the node of changes; it is asked again every idleInterval. It is optional.
+	Watches func() bool
+
 	failing       atomic.Bool // Run's last call has failed
 	refresh       chan struct{}
 	restored      atomic.Uint64 // the epoch that Restored was called with last, 0 if it wasn't
@@ -185,6 +191,9 @@
 // wait passes the changes since the revision to OnChange. It returns the revision to continue
 // from and whether there were changes.
 func (f *Follower[T]) wait(ctx context.Context, since epoch.Revision) (epoch.Revision, bool, error) {
+	if f.idle(ctx, since.Epoch) {
+		return epoch.Revision{}, false, errRefresh
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait+responseMargin)
 	defer cancel()
 	refreshed := make(chan bool, 1)
@@ -207,6 +216,18 @@
 	return revision, len(changes) > 0, nil
 }
 
+// idle waits as long as Watches returns false, unless the state is to be read again before. It
+// reports whether it has waited: the state that was read may then be old.
+func (f *Follower[T]) idle(ctx context.Context, read epoch.ID) (waited bool) {
+	for f.Watches != nil && !f.Watches() && !f.isOutdated(read) && ctx.Err() == nil {
+		waited = true
+		if f.sleep(ctx, idleInterval) {
+			return true
+		}
+	}
+	return waited
+}
+
 // awaitRefresh waits until the whole state is to be read again, and returns true, or until
 // done is closed.
 func (f *Follower[T]) awaitRefresh(read epoch.ID, done <-chan struct{}) bool {
