--- a/node/link/parts_test.go
+++ b/node/link/parts_test.go
@@ -72,7 +72,8 @@
 			ran <- c.RequestID
 			return echo(ctx, c)
 		}})
-		server.budget = memory.NewBudget(40<<20, 0, time.Now)
+		others := server.budget.Lease(server.budget.MaxBytes() - 1<<20)
+		So(others, ShouldNotBeNil)
 		reply, err := client.Do(context.Background(), address, longCall("long", 200))
 		So(err, ShouldBeNil)
 		So(reply.Outcome, ShouldEqual, OutcomeNotRun)
@@ -81,6 +82,7 @@
 		So(err, ShouldBeNil)
 		So(reply.Outcome, ShouldEqual, OutcomeResponded)
 		So(<-ran, ShouldEqual, "short")
+		others.Release()
 		So(server.budget.Used(), ShouldEqual, 0)
 	})
 	Convey("A reply for which there is no memory has an unknown outcome, as the call has run", t, func() {
@@ -251,7 +253,9 @@
 		go func() { served <- server.Serve(&fullListener{Listener: listener, failures: 3}) }()
 		client := NewPool(&fakeNode{name: "caller", serve: echo}, time.Now)
 		defer client.Close()
-		reply, err := client.Do(context.Background(), listener.Addr().String(), call("1"))
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		reply, err := client.Do(ctx, listener.Addr().String(), call("1"))
 		So(err, ShouldBeNil)
 		So(string(reply.Body), ShouldEqual, "1")
 		_ = listener.Close()
