quota: a first start of the fleet waits as before

Measured: go test ./quota passes (28 s); without this TestCalm/300/false had 104 refusals below the quota, as parts went to homes that instances which become known later take over.

--- a/node/quota.go
+++ b/node/quota.go
@@ -83,6 +83,9 @@
 	}
 	bounds := quota.Bounds{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack}
 	q.mu.table = quota.NewTable(q.clock(), s.Name, n.mu.record.Incarnation, bounds)
+	if s.FirstStart {
+		q.mu.table.FirstStart()
+	}
 	q.mu.waiting, q.mu.refused = map[string]chan struct{}{}, map[string]int{}
 	return q
 }
--- a/quota/part.go
+++ b/quota/part.go
@@ -187,7 +187,13 @@
 // isFleetStart reports whether the whole fleet seems to have been started with this process: every
 // peer that has answered it was. Then no process is left that may hold what the earlier process of
 // this instance had delegated, and waiting for its term would leave all accounts without quota.
+//
+// When a fleet starts for the first time, instances still become known, and waiting keeps the parts
+// from going to homes that they would leave again.
 func (t *Table) isFleetStart() bool {
+	if t.isFirstStart {
+		return false
+	}
 	witnesses := 0
 	for _, p := range t.peers {
 		if p.incarnation == 0 {
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -130,6 +130,9 @@
 	n.isUp, n.frozen, n.held, n.waiting = true, false, nil, map[string][]*simRequest{}
 	n.incarnation = max(n.incarnation+1, s.now.Milliseconds())
 	n.table = NewTable(s.clock(n), n.name, n.incarnation, simBounds)
+	if s.now == 0 {
+		n.table.FirstStart()
+	}
 	n.table.Configure(s.clock(n), 1, s.accounts)
 	process := n.process
 	var tick func()
--- a/quota/table.go
+++ b/quota/table.go
@@ -39,12 +39,13 @@
 	version     uint64
 	limits      map[string]limitSince // of accounts that have one
 
-	isComplete bool     // the node has read all records once
-	roster     []string // instances that the node knows, itself included
-	isKnown    map[string]bool
-	ranking    [Groups][]string
-	instances  int // the number that its part is computed by, 0 if unknown
-	counts     []instanceCount
+	isFirstStart bool     // the whole fleet starts for the first time
+	isComplete   bool     // the node has read all records once
+	roster       []string // instances that the node knows, itself included
+	isKnown      map[string]bool
+	ranking      [Groups][]string
+	instances    int // the number that its part is computed by, 0 if unknown
+	counts       []instanceCount
 
 	homes   [Groups]*home
 	parts   [Groups]part
@@ -70,6 +71,9 @@
 	keepUntil   time.Duration
 }
 
+// FirstStart tells that the whole fleet starts for the first time.
+func (t *Table) FirstStart() { t.isFirstStart = true }
+
 // NewTable returns the table of a process that has just started.
 func NewTable(now time.Duration, instance string, incarnation int64, bounds Bounds) *Table {
 	t := &Table{
