--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -24,6 +24,7 @@
 type quotaPeer struct {
 	quotas *quotas
 	name   string
+	kill   func()
 }
 
 func (p *quotaPeer) Serve(context.Context, *link.Call) *link.Reply { return &link.Reply{} }
@@ -56,8 +57,6 @@
 		names, listeners = append(names, name), append(listeners, listener)
 		addresses[name] = listener.Addr().String()
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	t.Cleanup(stop)
 	for i, name := range names {
 		p := &quotaPeer{name: name}
 		pool := link.NewPool(p, time.Now)
@@ -72,28 +71,62 @@
 		p.quotas = q
 		peers = append(peers, p)
 		q.configure(&route.Configuration{Version: 1, Accounts: []route.Account{{Name: "a", Rate: limit.Rate, Burst: limit.Burst}}})
+		ctx, stop := context.WithCancel(context.Background())
 		go q.run(ctx)
 		go func() { _ = pool.Serve(listeners[i]) }()
-		t.Cleanup(func() {
+		p.kill = func() {
+			stop()
 			_ = listeners[i].Close()
 			pool.Close()
-		})
-	}
-	home := func(p *quotaPeer) string {
-		p.quotas.mu.Lock()
-		defer p.quotas.mu.Unlock()
-		return p.quotas.mu.table.Stats(p.quotas.clock()).Homes[quota.GroupOf("a")]
+		}
+		t.Cleanup(p.kill)
 	}
-	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		same := home(peers[0]) != ""
+	awaitHome(t, peers, func(home string) bool { return home != "" })
+	return peers
+}
+
+func (p *quotaPeer) home() string {
+	p.quotas.mu.Lock()
+	defer p.quotas.mu.Unlock()
+	return p.quotas.mu.table.Stats(p.quotas.clock()).Homes[quota.GroupOf("a")]
+}
+
+// awaitHome waits until all peers have delegated their parts to the same home.
+func awaitHome(t *testing.T, peers []*quotaPeer, valid func(home string) bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		same := valid(peers[0].home())
 		for _, p := range peers {
-			same = same && home(p) == home(peers[0])
+			same = same && p.home() == peers[0].home()
 		}
 		if same {
-			return peers
+			return
+		}
+	}
+	t.Fatal("the nodes didn't agree on a home")
+}
+
+// TestQuotaHomeEnds guards against nodes that go on to ask a home which has ended.
+func TestQuotaHomeEnds(t *testing.T) {
+	t.Parallel()
+	peers := quotaFleet(t, 3, quota.Limit{Rate: 200, Burst: 100})
+	ended := peers[0].home()
+	var left []*quotaPeer
+	for _, p := range peers {
+		if p.name == ended {
+			p.kill()
+		} else {
+			left = append(left, p)
+		}
+	}
+	awaitHome(t, left, func(home string) bool { return home != "" && home != ended })
+	for _, p := range left {
+		granted := false
+		for deadline := time.Now().Add(10 * time.Second); !granted && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			granted = p.quotas.take(t.Context(), "a").Verdict == quota.Granted
 		}
-		if time.Now().After(deadline) {
-			t.Fatal("the nodes didn't agree on a home")
+		if !granted {
+			t.Errorf("%s gets no tokens after the home has ended", p.name)
 		}
 	}
 }
