--- a/quota/doc.go
+++ b/quota/doc.go
@@ -21,6 +21,6 @@
 // of parts, which with the refill of a window bounds what starts in it.
 //
 // Bound: a part exists once, so the sum over all homes exceeds 1 only while instances
-// disagree on N. A home never counts more than 1, and raises its sum by reclaimFactor if it
+// disagree on N. A home never counts more than 1, and raises its sum by reclaimFraction if it
 // holds the majority of the parts, for those of instances that are gone for good.
 package quota
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -29,7 +29,7 @@
 	// they hold up.
 	needValidity = 150 * time.Millisecond
 	// graceFraction is the fraction of the overage that extends a bucket's capacity. With
-	// reclaimFactor it stays below the overage of 0.1: 1.05 x (5 s + 0.2 s) < 1.1 x 5 s.
+	// reclaimFraction it stays below the overage of 0.1: 1.05 x (5 s + 0.2 s) < 1.1 x 5 s.
 	graceFraction = 0.4
 	// reclaimFraction is the fraction of the overage by which a home that holds the majority
 	// of the parts raises their sum, up to 1.
