fairshare: the room of a priority is shared by client account at the entry

Cause: where admission has room for a share of a priority's requests, an account at eight times its usual load got eight times the room.

Change: the new package fairshare states an account's excess over what it usually sends to this entry (at most its configured rate, at least that rate over the number of instances). Its share is divided by it, where slots or retries restrict the priority; its demand counts less where the share is computed from demand; places to come back are kept by account. Without an account nothing changes.

--- a/internal/boundary/boundary.go
+++ b/internal/boundary/boundary.go
@@ -16,6 +16,7 @@
 	"call",
 	"callgraph",
 	"epoch",
+	"fairshare",
 	"fleet",
 	"inventory",
 	"limiter",
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -58,6 +58,7 @@
 	metrics  *metrics
 	whole    *wholeRequests
 	returns  *returns
+	fair     *fairShares
 	// onNoTarget is called when no target of a request's service is known.
 	onNoTarget func()
 }
@@ -85,6 +86,7 @@
 	lastReason     link.Reason      // of the last reply
 	choice         balance.Choice   // of the last target
 	repeated       bool             // belongs to a run that repeats an earlier one
+	excess         float64          // by which factor its account sends too much, at least 1
 	limit          returntime.Limit // by which it was admitted or refused; no service if by none
 	uncarried      bool             // retries of rejected sends don't suffice for it
 	denials        int              // retries that the budget had no room for
@@ -166,6 +168,7 @@
 		}
 		return nil // the parent runs already, and a refusal would waste its work
 	}
+	r.excess = d.fair.arrive(now, r, t.mu.roster.Len())
 	status, wait := d.returns.arrive(now, r)
 	if status == returntime.Early && d.isRestricted(now, r) {
 		return d.refuseEarly(r, wait)
@@ -181,6 +184,7 @@
 			return nil
 		}
 		decision = t.mu.shed.Admit(now, r.priority, t.mu.costs.ByService(r.route.Name))
+		d.fair.decide(now, r, &decision)
 		if decision.Admit {
 			d.admitWhole(now, r, &decision)
 		}
@@ -189,7 +193,7 @@
 	case loadshed.SlowStart:
 		r.slowStart = true
 	}
-	r.limit = returntime.Limit{Service: decision.Service, Priority: r.priority, Share: decision.Share}
+	r.limit = returntime.Limit{Service: decision.Service, Priority: r.priority, Account: r.accountName(), Share: decision.Share}
 	if decision.Admit = d.returns.decide(now, r, decision.Admit); decision.Admit {
 		return nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -188,7 +188,7 @@
 	n.delivery.onCrash, n.delivery.onCleared = n.targetCrashed, n.requestsCleared
 	n.links = link.NewPool(n, n.now)
 	n.dispatcher = &dispatcher{
-		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log, metrics: n.metrics, whole: n.whole, returns: newReturns(),
+		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log, metrics: n.metrics, whole: n.whole, returns: newReturns(), fair: newFairShares(),
 		onNoTarget: n.readRecords,
 	}
 	n.ingress = ingress.NewServer(p.Dialect, n.dispatcher, s.MemoryBytes, n.now)
--- a/node/peers.go
+++ b/node/peers.go
@@ -163,6 +163,7 @@
 		}
 	}
 	n.tables.retainRoutes(c)
+	n.dispatcher.fair.retainAccounts(c)
 	n.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "from", from)
 	n.links.AnnounceVersion()
 }
--- a/node/whole.go
+++ b/node/whole.go
@@ -50,7 +50,7 @@
 	for _, c := range d.tables.mu.costs.ByService(r.route.Name) {
 		w.mu.calls = append(w.mu.calls, retrybudget.Calls{Service: c.Service, Requests: c.Requests})
 	}
-	carried := w.mu.admission.Arrive(now, nodes, importance, w.mu.calls)
+	carried := w.mu.admission.Arrive(now, nodes, importance, r.excess, w.mu.calls)
 	if carried.Share < decision.Share {
 		decision.Service, decision.Share = carried.Service, carried.Share
 	}
--- a/retrybudget/entry.go
+++ b/retrybudget/entry.go
@@ -68,8 +68,11 @@
 }
 
 // Arrive records a root request that arrives, and returns the smallest fraction of its
-// priority that the retries carry. nodes is the number of nodes that share the slack.
-func (a *Admission) Arrive(now time.Time, nodes int, importance Importance, calls []Calls) Carried {
+// priority that the retries carry. nodes is the number of nodes that share the slack. excess, at
+// least 1, is by which factor the request's account sends too much: its demand counts less, and
+// less of it is carried.
+func (a *Admission) Arrive(now time.Time, nodes int, importance Importance, excess float64, calls []Calls) Carried {
+	excess = max(excess, 1)
 	carried := Carried{Share: 1}
 	for _, c := range calls {
 		d := a.services[c.Service]
@@ -78,12 +81,12 @@
 			a.services[c.Service] = d
 		}
 		d.advance(now, a.config.Window)
-		d.arrive(now, importance.priority(), c.Requests)
+		d.arrive(now, importance.priority(), c.Requests/excess)
 		perCall := a.rejections.RetriesPerCall(now, c.Service)
 		if perCall < minRetriesPerCall {
 			continue
 		}
-		if share := d.share(a.config, nodes, importance.priority(), perCall); share < carried.Share {
+		if share := d.share(a.config, nodes, importance.priority(), perCall) / excess; share < carried.Share {
 			carried = Carried{Service: c.Service, Share: share, RetriesPerCall: perCall}
 		}
 	}
--- a/retrybudget/tree_test.go
+++ b/retrybudget/tree_test.go
@@ -138,7 +138,7 @@
 
 func (sim *treeSimulation) admit(entry *treeNode, k *rootKind, i Importance) bool {
 	calls := []Calls{{narrow, float64(k.calls)}}
-	carried := entry.admission.Arrive(sim.Now(), len(sim.nodes), i, calls)
+	carried := entry.admission.Arrive(sim.Now(), len(sim.nodes), i, 1, calls)
 	if !sim.admitsAll && !k.direct && !carried.Admits(i) {
 		return false
 	}
--- a/returntime/returntime.go
+++ b/returntime/returntime.go
@@ -21,6 +21,7 @@
 package returntime
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -79,12 +80,18 @@
 type Limit struct {
 	Service  string
 	Priority int
+	Account  string // whose places they are, "" without one
 	Share    float64
 }
 
 type queueKey struct {
 	service  string
 	priority int
+	account  string
+}
+
+func (l *Limit) key() queueKey {
+	return queueKey{l.Service, loadshed.ClampPriority(l.Priority), l.Account}
 }
 
 // places are those of one service and priority.
@@ -180,7 +187,7 @@
 	}
 	t.rotate(now)
 	t.current[fingerprint] = told{
-		at: now.Add(delay), seenAt: now, hasPlace: hasPlace, key: queueKey{l.Service, loadshed.ClampPriority(l.Priority)},
+		at: now.Add(delay), seenAt: now, hasPlace: hasPlace, key: l.key(),
 	}
 	return delay
 }
@@ -209,10 +216,11 @@
 	t.current, t.previous = t.previous, t.current
 	clear(t.current)
 	t.rotatedAt = now
+	maps.DeleteFunc(t.queues, func(_ queueKey, q *places) bool { return now.Sub(q.updatedAt) > maxDelay })
 }
 
 func (t *Table) queue(now time.Time, l Limit) *places {
-	key := queueKey{l.Service, loadshed.ClampPriority(l.Priority)}
+	key := l.key()
 	q := t.queues[key]
 	if q == nil {
 		q = &places{startedAt: now, updatedAt: now}
