--- a/loadshed/loadshed.go
+++ b/loadshed/loadshed.go
@@ -248,12 +248,6 @@
 	return decision
 }
 
-// IsRestricted reports whether Admit refuses some of the requests like this one.
-func (t *Table) IsRestricted(now time.Time, priority int, costs []ServiceCost) bool {
-	_, limiting := t.limit(now, ClampPriority(priority), costs)
-	return limiting != nil
-}
-
 // limit returns the service that admits the smallest share of the priority's requests, nil if
 // none restricts them, and the decision without its Admit.
 func (t *Table) limit(now time.Time, priority int, costs []ServiceCost) (decision Decision, limiting *service) {
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -17,7 +17,6 @@
 	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/quarantine"
 	"github.com/gypsumford/gypsumford/quota"
-	"github.com/gypsumford/gypsumford/returntime"
 	"github.com/gypsumford/gypsumford/roster"
 	"github.com/gypsumford/gypsumford/route"
 )
@@ -62,7 +61,7 @@
 	metrics  *metrics
 	proofs   *proofs // nil if requests with a key need no proof
 	whole    *wholeRequests
-	returns  *returns
+	fair     *fairShares
 	// onNoTarget is called when no target of a request's service is known.
 	onNoTarget func()
 }
@@ -87,16 +86,15 @@
 	hasFingerprint bool
 	quotaToken     quota.Token // valid if hasQuotaToken is set
 	hasQuotaToken  bool
-	unserved       bool             // no target of the service is known
-	slowStart      bool             // admitted before the route's cost was known
-	lastReason     link.Reason      // of the last reply
-	choice         balance.Choice   // of the last target
-	repeated       bool             // belongs to a run that repeats an earlier one
-	limit          returntime.Limit // by which it was admitted or refused; no service if by none
-	workTime       time.Duration    // of targets, its calls included, as far as its route's cost is known
-	uncarried      bool             // retries of rejected sends don't suffice for it
-	denials        int              // retries that the budget had no room for
-	crashes        int              // runs that were lost because the target crashed
+	unserved       bool           // no target of the service is known
+	slowStart      bool           // admitted before the route's cost was known
+	lastReason     link.Reason    // of the last reply
+	choice         balance.Choice // of the last target
+	repeated       bool           // belongs to a run that repeats an earlier one
+	excess         float64        // by which factor its account sends too much, at least 1
+	uncarried      bool           // retries of rejected sends don't suffice for it
+	denials        int            // retries that the budget had no room for
+	crashes        int            // runs that were lost because the target crashed
 	placement      quarantine.Placement
 	fingerprint    quarantine.Fingerprint // valid if hasFingerprint is set
 	lastReply      *link.Reply            // the last failed response; the caller gets it if no retry succeeds
@@ -181,21 +179,13 @@
 		}
 		return nil // the parent runs already, and a refusal would waste its work
 	}
-	status, wait := d.returns.arrive(now, r)
-	if status == returntime.Early && d.isRestricted(now, r) {
-		return d.refuseEarly(r, wait)
-	}
+	r.excess = d.fair.arrive(now, r, t.mu.roster.Len())
 	decision := loadshed.Decision{Admit: true, Share: 1}
 	costStatus := t.mu.costs.Arrive(now, r.route.Name)
 	switch costStatus {
 	case loadshed.CostKnown:
-		if status == returntime.Due {
-			d.metrics.returns.Add(status.String(), 1)
-			r.rank = 0 // so that its retries are granted, too
-			d.admitWhole(now, r, &decision)
-			return nil
-		}
 		decision = t.mu.shed.Admit(now, r.priority, t.mu.costs.ByService(r.route.Name))
+		d.fair.decide(now, r, &decision)
 		if decision.Admit {
 			d.admitWhole(now, r, &decision)
 		}
@@ -204,9 +194,7 @@
 	case loadshed.SlowStart:
 		r.slowStart = true
 	}
-	r.limit = returntime.Limit{Service: decision.Service, Priority: r.priority, Share: decision.Share}
-	r.workTime = t.mu.costs.WorkTime(r.route.Name)
-	if decision.Admit = d.returns.decide(now, r, decision.Admit); decision.Admit {
+	if decision.Admit {
 		return nil
 	}
 	retryAfter := d.retryAfter(r, now)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -25,7 +25,6 @@
 	ends           expvar.Map // of requests, by reason
 	refused        expvar.Map // at the entry, by priority
 	refusedRetries expvar.Map // at the entry, as retries don't suffice, by service
-	returns        expvar.Map // requests that came back after a refusal, by status
 	deniedRetries  expvar.Int // calls for the local target that the retry budget had no room for
 	retries        expvar.Int // sends after the request had reached a target
 	targetCalls    expvar.Map // calls for the local target, by outcome and reason
@@ -56,7 +55,7 @@
 	m := &metrics{gauges: map[string]func() int64{}}
 	for _, variable := range []*expvar.Map{
 		&m.responses, &m.ends, &m.refused, &m.targetCalls, &m.targetEnds, &m.quarantine, &m.closedClients,
-		&m.storeFailures, &m.storeEpochs, &m.proofs, &m.refusedRetries, &m.returns,
+		&m.storeFailures, &m.storeEpochs, &m.proofs, &m.refusedRetries,
 		&m.domainRequests, &m.domainBytes, &m.domainShares,
 	} {
 		variable.Init()
@@ -93,7 +92,6 @@
 	variable("request_ends", &m.ends)
 	variable("refused_at_entry", &m.refused)
 	variable("refused_for_retries", &m.refusedRetries)
-	variable("returns", &m.returns)
 	variable("repeats", &m.retries)
 	variable("repeats_denied", &m.deniedRetries)
 	variable("target_calls", &m.targetCalls)
--- a/node/node.go
+++ b/node/node.go
@@ -194,7 +194,7 @@
 	n.links = link.NewPool(n, n.now)
 	n.dispatcher = &dispatcher{
 		settings: s, now: n.now, tables: n.tables, delivery: n.delivery, links: n.links, log: n.log, metrics: n.metrics,
-		whole: n.whole, returns: newReturns(), domains: n.domains, onNoTarget: n.readRecords,
+		whole: n.whole, fair: newFairShares(), domains: n.domains, onNoTarget: n.readRecords,
 	}
 	n.ingress = ingress.NewServer(p.Dialect, n.dispatcher, s.MemoryBytes, n.now)
 	n.ingress.OnUnexpected = n.log.unexpectedError
--- a/node/peers.go
+++ b/node/peers.go
@@ -178,6 +178,7 @@
 	n.delivery.speed.retainRoutes(c)
 	n.quotas.configure(c)
 	n.domains.retainServices(c)
+	n.dispatcher.fair.retainAccounts(c)
 	n.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "from", from)
 	n.links.AnnounceVersion()
 }
--- a/node/whole.go
+++ b/node/whole.go
@@ -48,9 +48,9 @@
 	defer w.mu.Unlock()
 	w.mu.calls = w.mu.calls[:0]
 	for _, c := range d.tables.mu.costs.ByService(r.route.Name) {
-		w.mu.calls = append(w.mu.calls, retrybudget.Calls{Service: c.Service, Requests: c.Requests})
+		w.mu.calls = append(w.mu.calls, retrybudget.Calls{Service: c.Service, Requests: c.Requests, Direct: c.Service == r.service})
 	}
-	carried := w.mu.admission.Arrive(now, nodes, importance, w.mu.calls)
+	carried := w.mu.admission.Arrive(now, nodes, importance, r.excess, w.mu.calls)
 	if carried.Share < decision.Share {
 		decision.Service, decision.Share = carried.Service, carried.Share
 	}
--- a/retrybudget/entry.go
+++ b/retrybudget/entry.go
@@ -13,6 +13,12 @@
 	// requests of a priority would cause. An entry sees few requests, so a short one would
 	// admit other shares at each entry, and so requests of other ranks than the retries go to.
 	demandTimeConstant = 5 * time.Second
+	// negligibleShare is the fraction of the most calls that a request makes of a service below
+	// which the service doesn't decide on a request: estimates credit some calls to the wrong
+	// route, and refusing it would spare the service hardly any retry.
+	negligibleShare = 0.2
+	// mostCallsDecay is the factor by which the most calls decay with each request.
+	mostCallsDecay = 0.995
 	// spendTime is the fraction of the window in which the retries of a window are spent: a
 	// service that rejects for that long gets all of them, at an even pace.
 	spendTime = float64(spendBuckets) / bucketsPerWindow
@@ -37,6 +43,7 @@
 type demand struct {
 	counter                     // requests are the calls of admitted root requests
 	perS    [priorities]float64 // calls per second that all root requests would cause, by priority
+	most    float64             // calls of one request; decays
 	started time.Time           // when the first request arrived
 	updated time.Time
 }
@@ -45,6 +52,7 @@
 type Calls struct {
 	Service  string
 	Requests float64
+	Direct   bool // the root request itself is sent to the service
 }
 
 // Carried is why a root request is refused.
@@ -68,8 +76,11 @@
 }
 
 // Arrive records a root request that arrives, and returns the smallest fraction of its
-// priority that the retries carry. nodes is the number of nodes that share the slack.
-func (a *Admission) Arrive(now time.Time, nodes int, importance Importance, calls []Calls) Carried {
+// priority that the retries carry. nodes is the number of nodes that share the slack. excess, at
+// least 1, is by which factor the request's account sends too much: its demand counts less, and
+// less of it is carried.
+func (a *Admission) Arrive(now time.Time, nodes int, importance Importance, excess float64, calls []Calls) Carried {
+	excess = max(excess, 1)
 	carried := Carried{Share: 1}
 	for _, c := range calls {
 		d := a.services[c.Service]
@@ -78,12 +89,15 @@
 			a.services[c.Service] = d
 		}
 		d.advance(now, a.config.Window)
-		d.arrive(now, importance.priority(), c.Requests)
+		if d.most = max(d.most*mostCallsDecay, c.Requests); c.Requests < negligibleShare*d.most && !c.Direct {
+			continue
+		}
+		d.arrive(now, importance.priority(), c.Requests/excess)
 		perCall := a.rejections.RetriesPerCall(now, c.Service)
 		if perCall < minRetriesPerCall {
 			continue
 		}
-		if share := d.share(a.config, nodes, importance.priority(), perCall); share < carried.Share {
+		if share := d.share(a.config, nodes, importance.priority(), perCall) / excess; share < carried.Share {
 			carried = Carried{Service: c.Service, Share: share, RetriesPerCall: perCall}
 		}
 	}
--- a/retrybudget/tree_test.go
+++ b/retrybudget/tree_test.go
@@ -137,8 +137,8 @@
 }
 
 func (sim *treeSimulation) admit(entry *treeNode, k *rootKind, i Importance) bool {
-	calls := []Calls{{narrow, float64(k.calls)}}
-	carried := entry.admission.Arrive(sim.Now(), len(sim.nodes), i, calls)
+	calls := []Calls{{Service: narrow, Requests: float64(k.calls), Direct: k.direct}}
+	carried := entry.admission.Arrive(sim.Now(), len(sim.nodes), i, 1, calls)
 	if !sim.admitsAll && !k.direct && !carried.Admits(i) {
 		return false
 	}
