--- a/node/node.go
+++ b/node/node.go
@@ -72,7 +72,7 @@
 	// the configuration, at most maxPollPeriod. Up to that bound, some node polls every
 	// pollSpacing on average, however many nodes there are.
 	pollSpacing = 400 * time.Millisecond
-	// initialPollDelay is the time from a node's start to its first poll. The node has
+	// initialPollDelay is the time from a node's start until it polls in turns. The node has
 	// just read the configuration, and knows few of the other nodes, whose number sets
 	// the period.
 	initialPollDelay = 3 * time.Second
--- a/node/peers.go
+++ b/node/peers.go
@@ -68,18 +68,27 @@
 // an error. The nodes poll in turn, so that one of them finds a change soon, and
 // announce new versions to each other.
 func (n *Node) poll(ctx context.Context) {
-	wait := initialPollDelay
+	if !sleep(ctx, initialPollDelay) {
+		return
+	}
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-			n.configurations.Poll(ctx)
-		}
 		period := min(time.Duration(n.instances())*pollSpacing, maxPollPeriod)
 		phase := time.Duration(xxhash.Sum64String(n.settings.Name) % uint64(period))
 		now := time.Duration(n.now().UnixNano())
-		wait = period - (now-phase)%period
+		if !sleep(ctx, period-(now-phase)%period) {
+			return
+		}
+		n.configurations.Poll(ctx)
+	}
+}
+
+// sleep waits for the time. It returns false if the context ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
 }
 
