freshness: no allocation for each proof

Cause: a proof that was recorded moved to the heap, once a reply. Change: proofs are copied into the held ones.

--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -111,7 +111,10 @@
 	if held == &t.current && (t.current == nil || p.At-t.current.At > t.fraction(askFraction)) {
 		t.offer = true
 	}
-	*held = &p
+	if *held == nil {
+		*held = new(Proof)
+	}
+	**held = p
 }
 
 // HasOffer reports whether TakeOffer would report true.
