freshness: simulate that only some nodes watch the configuration

Cause: the simulation let most nodes watch, so it didn't show whether changes come into force in time when only two nodes of a failure domain wait for them.

Change: simulated nodes watch as real ones do; the test also checks that a configuration is in force 2.5 s after its acknowledgement on nodes that have been in touch for 8 s.

--- a/freshness/fleet_test.go
+++ b/freshness/fleet_test.go
@@ -19,6 +19,7 @@
 	readTimeout = time.Second
 	allGroups   = 3
 	testSeeds   = 12
+	applyTime   = 2500 * time.Millisecond
 )
 
 // fleet is a simulated store with its nodes. Version v of the configuration accepts the keys from v
@@ -37,6 +38,7 @@
 	partedUntil                     time.Time // the groups can't reach each other
 	reads, accepted, refused        int
 	refusedInTouch                  int
+	checks, late                    int // of configurations in force, on nodes in touch
 	violations                      []string
 }
 
@@ -53,6 +55,7 @@
 	isolated    time.Time     // until when nobody reaches it
 	inTouch     time.Time     // since when; zero if it isn't
 	epoch       epoch.ID
+	isWatcher   bool
 	watching    bool // its connection to the store works
 }
 
@@ -126,7 +129,7 @@
 
 // ask sends a call or a ping, which the peer answers after the given time.
 func (n *testNode) ask(to *testNode, takes time.Duration) {
-	asked := n.boot()
+	f, asked := n.f, n.boot()
 	n.deliver(to, func() {
 		to.after(takes, false, func() {
 			age, proven := to.tracker.Age(to.boot())
@@ -134,7 +137,7 @@
 			to.deliver(n, func() {
 				n.tracker.PeerAnswered(n.boot(), asked, v, age, proven)
 				if v > n.inForce {
-					n.after(300*time.Millisecond, true, func() { n.pull(to) })
+					n.after(f.draw(30*time.Millisecond), true, func() { n.pull(to) })
 				}
 				n.offer()
 			})
@@ -225,7 +228,7 @@
 
 func (n *testNode) watch() {
 	if n.reachesStore() {
-		if n.id%3 > 0 { // some watches miss changes
+		if n.isWatcher || n.tracker.NeedsWatch(n.boot()) {
 			n.apply(n.f.version)
 		}
 		n.after(200*time.Millisecond, true, n.watch)
@@ -278,6 +281,12 @@
 func (n *testNode) request() {
 	f := n.f
 	key := f.newest - min(f.newest, route.Version(f.random.IntN(4)))
+	if !n.inTouch.IsZero() && f.now().Sub(n.inTouch) > graceTime {
+		f.checks++
+		if at, ok := f.acked[n.inForce+1]; ok && f.now().Sub(at) > applyTime && f.version == f.newest {
+			f.late++
+		}
+	}
 	fresh := n.tracker.Fresh(n.boot(), n.inForce)
 	if !fresh && n.inForce == 0 {
 		return // it has no configuration
@@ -402,7 +411,12 @@
 	for i := range nodes {
 		f.nodes = append(f.nodes, &testNode{f: f, id: i, group: i % allGroups, rate: 1 + (f.random.Float64()-0.5)/1000})
 	}
+	var instances []Instance
 	for _, n := range f.nodes {
+		instances = append(instances, Instance{fmt.Sprint(n.id), fmt.Sprint(n.id % allGroups)})
+	}
+	for i, n := range f.nodes {
+		n.isWatcher = IsWatcher(instances[i], instances)
 		n.tracker = NewTracker(testBound, true, 0)
 	}
 	for _, n := range f.nodes {
@@ -417,13 +431,14 @@
 	return f
 }
 
-// Guards against a key that is accepted later than the bound after it was withdrawn, and against
-// nodes that refuse although they are in touch with a store that works.
+// Guards against a key that is accepted later than the bound after it was withdrawn, against nodes
+// that refuse although they are in touch with a store that works, and against configurations
+// that come into force late as only some nodes wait for them.
 func TestWithdrawnKeysAreRefusedInTime(t *testing.T) {
-	accepted := 0
+	accepted, checks, late := 0, 0, 0
 	for seed := range uint64(testSeeds) {
 		f := play(seed, 20+int(seed%4)*60, true)
-		accepted += f.accepted
+		accepted, checks, late = accepted+f.accepted, checks+f.checks, late+f.late
 		for _, v := range f.violations[:min(len(f.violations), 3)] {
 			t.Errorf("seed %d: %s", seed, v)
 		}
@@ -431,6 +446,9 @@
 			t.Errorf("seed %d: %d requests were refused by nodes in touch with the store; %d accepted, %d refused", seed, f.refusedInTouch, f.accepted, f.refused)
 		}
 	}
+	if late > 0 || checks == 0 {
+		t.Errorf("%d of %d times a configuration that had been acknowledged for %v was not in force on a node in touch", late, checks, applyTime)
+	}
 	if accepted == 0 {
 		t.Error("no request was accepted")
 	}
