--- a/node/egress/meter.go
+++ b/node/egress/meter.go
@@ -63,5 +63,6 @@
 		lease.Release()
 		return nil, nil, nil, err
 	}
+	lease.ReleaseWhenUnreachable() // the response may be dropped in many places
 	return first, rest, lease, nil
 }
--- a/node/link/parts.go
+++ b/node/link/parts.go
@@ -71,6 +71,7 @@
 // receiveReply ends a call, or waits for the rest of the reply's body.
 func (c *conn) receiveReply(id uint64, reply *Reply, rest int64) {
 	lease, ok := c.leaseBody(int64(len(reply.Body)) + rest)
+	lease.ReleaseWhenUnreachable() // the reply may be dropped in many places
 	reply.Lease = lease
 	switch {
 	case rest < 0 || !ok:
@@ -140,6 +141,9 @@
 // call, nil for a reply. It returns false if it ended before the last part was queued: with the
 // context, when ended is closed, or with the connection.
 func (c *conn) sendParts(ctx context.Context, id uint64, rest [][]byte, pending *pendingCall, ended <-chan struct{}) bool {
+	if len(rest) == 0 {
+		return true
+	}
 	written := make(chan struct{}, partsAhead)
 	for i, data := range rest {
 		if i >= partsAhead {
--- a/node/memory/body.go
+++ b/node/memory/body.go
@@ -12,7 +12,7 @@
 	PartBytes = 64 << 10
 	// exactBytes is the size up to which a part is allocated at once. Of a longer one, firstBytes
 	// are allocated before any byte of it was read.
-	exactBytes = 16 << 10
+	exactBytes = 32 << 10
 	firstBytes = 4 << 10
 )
 
--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -207,8 +207,7 @@
 	b.mu.account.Release(c.holder, ConnectionBytes)
 }
 
-// Lease is memory for one body that is never evicted. The methods accept nil. A lease that isn't
-// released is given back when the garbage collector has found it unreachable.
+// Lease is memory for one body that is never evicted. The methods accept nil.
 type Lease struct{ state *leaseState }
 
 type leaseState struct {
@@ -225,9 +224,14 @@
 	if !b.take(h, bytes) {
 		return nil
 	}
-	l := &Lease{state: &leaseState{budget: b, holder: h}}
-	runtime.AddCleanup(l, (*leaseState).release, l.state)
-	return l
+	return &Lease{state: &leaseState{budget: b, holder: h}}
+}
+
+// ReleaseWhenUnreachable makes the garbage collector release the lease if nothing else does.
+func (l *Lease) ReleaseWhenUnreachable() {
+	if l != nil {
+		runtime.AddCleanup(l, (*leaseState).release, l.state)
+	}
 }
 
 // Grow adds bytes to the lease. It returns false if there is no room.
