ingress: a connection has its account before it can be evicted

Cause: by reading: a connection that was evicted at the moment when it was opened had no account yet when it was aborted, which would have ended the process. Change: the account's entry is made first and opened afterwards. Result: go test -race ./node/memory ./node/ingress passes. Read only, no run showed the fault.

--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -51,6 +51,7 @@
 	// and bounded, set when the send buffer is bounded, are used by the reading and the writing
 	// goroutine only.
 	account   *memory.Client
+	admitted  bool // there was room for the connection
 	headBytes int
 	bounded   bool
 
@@ -75,13 +76,14 @@
 	outgoing outgoing
 }
 
-// newConn returns a connection, whose account is nil if there is no room for it.
+// newConn returns a connection, which must not be served unless it is admitted.
 func newConn(s *Server, socket net.Conn) *conn {
 	c := &conn{server: s, socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.mu.changed = sync.NewCond(&c.mu)
 	c.mu.unused = true
-	c.account = s.budget.OpenClient(c.evict)
+	c.account = s.budget.NewClient(c.evict)
+	c.admitted = c.account.Open() // which may call evict already
 	return c
 }
 
--- a/node/ingress/server.go
+++ b/node/ingress/server.go
@@ -93,7 +93,7 @@
 
 func (s *Server) accept(socket net.Conn) {
 	c := newConn(s, socket)
-	if c.account == nil {
+	if !c.admitted {
 		s.OnClosed(Closed{Client: socket.RemoteAddr().String(), Cause: CauseNoRoom})
 		_ = socket.Close() // nothing was read from it
 		return
--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -94,16 +94,24 @@
 
 // Client is what a connection of a client holds.
 type Client struct {
-	budget *Budget
-	holder *holder
+	budget  *Budget
+	onEvict func(Eviction)
+	holder  *holder // set by Open
+}
+
+// NewClient returns a connection of a client that isn't open yet and holds nothing. onEvict is
+// called, at most once, when the open connection must be closed to make room.
+func (b *Budget) NewClient(onEvict func(Eviction)) *Client {
+	return &Client{budget: b, onEvict: onEvict}
 }
 
-// OpenClient adds a connection of a client. onEvict is called, at most once, when the connection
-// must be closed to make room. It returns nil if there is no room for the connection.
-func (b *Budget) OpenClient(onEvict func(Eviction)) *Client {
+// Open adds the connection to the account. It returns false if there is no room for it. onEvict may
+// be called before Open returns. The other methods may be called only if it returned true.
+func (c *Client) Open() bool {
+	b := c.budget
 	b.mu.Lock()
 	now := b.now()
-	h, evicted := b.mu.account.Open(now, onEvict)
+	h, evicted := b.mu.account.Open(now, c.onEvict)
 	victims := []*holder{evicted}
 	granted := false
 	if h != nil {
@@ -112,15 +120,15 @@
 			b.mu.account.Close(h)
 		}
 		victims = append(victims, more...)
+		c.holder = h
 	}
 	evictions := evictionsOf(now, victims)
 	b.mu.Unlock()
 	evictions.run()
 	if !granted {
 		b.refused.Add(1)
-		return nil
 	}
-	return &Client{budget: b, holder: h}
+	return granted
 }
 
 // evictions are the calls to make for evicted holders, without the lock.
--- a/node/memory/budget_test.go
+++ b/node/memory/budget_test.go
@@ -12,14 +12,16 @@
 	Convey("A body at the operators' limit fits on the machines that the project is made for", t, func() {
 		for _, memoryMB := range []int64{184, 284, 536} {
 			b := NewBudget(memoryMB<<20, 4100, time.Now)
-			c := b.OpenClient(func(Eviction) {})
+			c := b.NewClient(func(Eviction) {})
+			So(c.Open(), ShouldBeTrue)
 			So(c.Take(64<<20), ShouldBeTrue)
 			So(b.Used(), ShouldBeLessThan, memoryMB<<20*6/10)
 		}
 	})
 	Convey("Leases and connections give back all that they took", t, func() {
 		b := NewBudget(184<<20, 4100, time.Now)
-		c := b.OpenClient(func(Eviction) {})
+		c := b.NewClient(func(Eviction) {})
+		So(c.Open(), ShouldBeTrue)
 		l := b.Lease(1 << 20)
 		So(l.Grow(1<<20), ShouldBeTrue)
 		So(c.Receive(l), ShouldBeTrue)
@@ -43,7 +45,7 @@
 		b := NewBudget(536<<20, 1000, time.Now)
 		closed := 0
 		for range 500 {
-			b.OpenClient(func(Eviction) { closed++ })
+			b.NewClient(func(Eviction) { closed++ }).Open()
 		}
 		So(b.Connections(), ShouldEqual, 400)
 	})
