--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -364,7 +364,7 @@
 	}
 	d.domains.relieve(now, r.service, &choice, reply)
 	t.recordReply(now, r.route.Name, r.service, reply)
-	d.domains.ended(r.service, &choice, len(r.Body)+len(reply.Body))
+	d.domains.ended(r.service, &choice, memory.Size(r.Body, r.Rest)+memory.Size(reply.Body, reply.Rest))
 	switch {
 	case reply.Outcome == link.OutcomeResponded:
 		failed := reply.Status >= http.StatusInternalServerError
