--- a/retrybudget/retrybudget_test.go
+++ b/retrybudget/retrybudget_test.go
@@ -150,9 +150,9 @@
 	Convey("Retries go to root requests that complete, the most important first", t, func() {
 		equal := completedShares(func(int, uint8) Importance { return Importance{} })
 		ordered := completedShares(func(priority int, rank uint8) Importance { return Importance{priority, rank} })
+		t.Logf("completed orders, checks and lookups: %.3f by importance, %.3f all alike", ordered, equal)
 		So(ordered[0], ShouldBeGreaterThan, 1.0/25) // the fraction in the bench with retries first come, first served
 		So(ordered[0], ShouldBeGreaterThan, 1.5*equal[0])
 		So(ordered[1], ShouldBeGreaterThan, 0.4) // almost one call in two is accepted without a retry
-		t.Logf("completed orders, checks and lookups: %.3f by importance, %.3f all alike", ordered, equal)
 	})
 }
