--- a/retrybudget/bench_test.go
+++ b/retrybudget/bench_test.go
@@ -24,7 +24,7 @@
 	admission := NewAdmission(config, rejections)
 	var calls []Calls
 	for _, service := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "s"} {
-		calls = append(calls, Calls{service, 2})
+		calls = append(calls, Calls{Service: service, Requests: 2})
 	}
 	now := start
 	for i := range b.N {
