--- a/loadshed/loadshed.go
+++ b/loadshed/loadshed.go
@@ -55,6 +55,8 @@
 	// the share of an idle service grows.
 	minPressure = 0.5
 	minShare    = 0.02 // lower bound of a share
+	// fullPressure is the pressure from which a service has no room for work in vain.
+	fullPressure = 0.9
 	// negligibleShare is the fraction of a service's largest cost below which the
 	// service doesn't decide on a request: refusing it would hardly relieve the service.
 	negligibleShare = 0.2
@@ -185,6 +187,13 @@
 	return s.pressures, s.observedAt, true
 }
 
+// IsFull reports whether the requests of all priorities together fill the targets of the service, so
+// that work in vain there takes room from others.
+func (t *Table) IsFull(now time.Time, name string) bool {
+	pressures, _, fresh := t.Pressures(now, name)
+	return fresh && pressures[Priorities-1] >= fullPressure
+}
+
 // isFresh reports whether the pressures are recent enough to decide by.
 func (s *service) isFresh(now time.Time) bool { return now.Sub(s.observedAt) <= pressureMaxAge }
 
--- a/node/whole.go
+++ b/node/whole.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -38,8 +39,10 @@
 }
 
 // admitWhole refuses the request by the decision if the retries that it needs at a deeper
-// service don't suffice. A service that the request is sent to first may still accept it: then
-// no work is wasted, so it is sent there, once. The tables' lock is held.
+// service don't suffice, and the work that would be wasted takes room from others. While the services
+// above have room it is sent in any case: some of such requests succeed by chance, and a refused
+// caller comes back. A service that the request is sent to first may accept it, too. The tables'
+// lock is held.
 func (d *dispatcher) admitWhole(now time.Time, r *request, decision *loadshed.Decision) {
 	nodes := max(d.tables.mu.roster.Len(), 1)
 	importance := retrybudget.Importance{Priority: r.priority, Rank: r.rank}
@@ -56,7 +59,7 @@
 	}
 	if !carried.Admits(importance) {
 		r.uncarried = true
-		if len(w.mu.calls) > 1 && carried.Service != r.service {
+		if len(w.mu.calls) > 1 && carried.Service != r.service && d.wastesRoom(now, carried.Service) {
 			*decision = loadshed.Decision{Service: carried.Service, Pressure: carried.RetriesPerCall, Share: carried.Share}
 			d.metrics.refusedRetries.Add(carried.Service, 1)
 			return
@@ -65,6 +68,14 @@
 	w.mu.admission.Admitted(now, w.mu.calls)
 }
 
+// wastesRoom reports whether the request that is decided on uses a full service other than the one
+// whose retries don't suffice for it.
+func (d *dispatcher) wastesRoom(now time.Time, rejecting string) bool {
+	return slices.ContainsFunc(d.whole.mu.calls, func(c retrybudget.Calls) bool {
+		return c.Service != rejecting && d.tables.mu.shed.IsFull(now, c.Service)
+	})
+}
+
 // observeReply records whether a target of the service rejected a call, and what the reply
 // reports of deeper services. A retry that was denied counts as rejected, so that fewer
 // requests are admitted than need it.
--- a/node/whole_test.go
+++ b/node/whole_test.go
@@ -84,11 +84,13 @@
 		return d
 	}
 	// serve returns how many of the requests of a route are admitted.
+	pressure := 1.0 // of the service above the one that rejects
 	serve := func(d *dispatcher, name, service string, rejected float64) (admitted int) {
 		for i := range 1000 {
 			now = now.Add(10 * time.Millisecond)
 			views := []link.ServiceView{{Service: "deep", Rejected: rejected, RejectedAge: 5 * time.Millisecond}}
 			d.whole.observeReply(now, "front", &link.Reply{Outcome: link.OutcomeResponded, Arrived: true, Status: http.StatusOK, Views: views})
+			d.tables.mu.shed.Observe(now, "front", now, loadshed.Uniform(pressure), loadshed.Direct)
 			r := &request{Request: &ingress.Request{}, route: &route.Route{Name: name}, service: service, rank: uint8(i * 37)}
 			decision := loadshed.Decision{Admit: true}
 			d.admitWhole(now, r, &decision)
@@ -105,6 +107,11 @@
 		So(serve(d, "order", "front", 0.55), ShouldBeBetween, 130, 260)
 		So(d.metrics.refusedRetries.Get("deep").String(), ShouldNotEqual, "0")
 	})
+	Convey("All are admitted while the service above has room for work in vain", t, func() {
+		pressure = 0.5
+		defer func() { pressure = 1.0 }()
+		So(serve(newDispatcher(), "order", "front", 0.55), ShouldEqual, 1000)
+	})
 	Convey("A request that the service itself may accept at once is sent in any case", t, func() {
 		So(serve(newDispatcher(), "check", "deep", 0.55), ShouldEqual, 1000)
 	})
