egress: a response to HEAD that states a length is complete

Cause: since bodies are read to their stated length, a response to HEAD with Content-Length was taken for a truncated one, and the caller got 502 although the request had run. net/http reports the stated length for HEAD, but no body. Change: the length is 0 where net/http reports that there is no body. Measured: go test ./node/egress -run TestResponsesToHead failed before ('unexpected EOF') and passes.

--- a/node/egress/send.go
+++ b/node/egress/send.go
@@ -202,7 +202,11 @@
 			return nil, 0, errors.Newf("response has the status %03d, which HTTP/1.1 doesn't have here", head.StatusCode)
 		}
 		c.bounded.remaining = framingFactor * maxBodyBytes
-		body, rest, lease, err := s.readBody(head.Body, head.ContentLength)
+		length := head.ContentLength
+		if head.Body == http.NoBody {
+			length = 0 // a response to HEAD states the length of a body that doesn't follow
+		}
+		body, rest, lease, err := s.readBody(head.Body, length)
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "read response body")
 		}
