ingress: no bytes are lost when a long head's buffer is replaced

Cause: the read buffer grew by a reader on top of the smaller one. If a long head ended at the end of the larger buffer, the first bytes of the next pipelined request were left in the smaller one, and lost when the connection went back to a small buffer; the next request was refused as malformed. Change: a larger buffer takes over the bytes of the smaller one and reads from the connection itself, so the buffers that are held are also those that are counted.

--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -42,18 +42,18 @@
 
 // conn is a connection of a caller.
 type conn struct {
-	server *Server
-	socket net.Conn
-	reader *bufio.Reader // used by the goroutine in serve only
-	ctx    context.Context
-	cancel context.CancelFunc
-	// account is what the connection holds. headBytes, of the read buffer beyond its initial size,
-	// and bounded, set when the send buffer is bounded, are used by the reading and the writing
-	// goroutine only.
-	account   *memory.Client
-	admitted  bool // there was room for the connection
+	server   *Server
+	socket   net.Conn
+	reader   *bufio.Reader // used by the goroutine in serve only
+	ctx      context.Context
+	cancel   context.CancelFunc
+	account  *memory.Client // what the connection holds
+	admitted bool           // there was room for the connection
+	// headBytes is the size of the read buffer beyond its initial size; used by the goroutine in
+	// serve only.
 	headBytes int
-	bounded   bool
+	// sendBufferBounded is set once the send buffer is bounded; used while writing is set only.
+	sendBufferBounded bool
 
 	mu struct {
 		sync.Mutex
@@ -190,7 +190,7 @@
 	}
 	arrived := c.server.now()
 	_ = c.socket.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed socket
-	head, reader, err := readHeadIn(c.reader, maxHead, c.takeHead)
+	head, reader, err := readHeadIn(c.reader, c.socket, maxHead, c.takeHead)
 	c.reader = reader
 	if err == nil && !c.account.Take(int64(requestBytes(head))) {
 		err = errBufferFull
--- a/node/ingress/head.go
+++ b/node/ingress/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net/http"
 	"strings"
 
@@ -28,12 +29,12 @@
 // readHead waits for the whole head of a request and parses it. The returned reader
 // replaces the one passed in, since a long head needs a larger buffer.
 func readHead(reader *bufio.Reader, maxBytes int) (*http.Request, *bufio.Reader, error) {
-	return readHeadIn(reader, maxBytes, func(int) bool { return true })
+	return readHeadIn(reader, reader, maxBytes, func(int) bool { return true })
 }
 
-// readHeadIn is like readHead. room is called before the buffer grows by that many bytes, and
-// returns false if there is no room for them.
-func readHeadIn(reader *bufio.Reader, maxBytes int, room func(bytes int) bool) (*http.Request, *bufio.Reader, error) {
+// readHeadIn is like readHead. source is what the reader reads from, or the reader itself. room is
+// called before the buffer grows to that many bytes, and returns false if there is no room for them.
+func readHeadIn(reader *bufio.Reader, source io.Reader, maxBytes int, room func(size int) bool) (*http.Request, *bufio.Reader, error) {
 	checked := 0 // bytes that don't contain endOfHead
 	for {
 		buffered, _ := reader.Peek(reader.Buffered()) // returns the buffered bytes without reading
@@ -61,7 +62,7 @@
 			if !room(size) {
 				return nil, reader, errBufferFull
 			}
-			reader = bufio.NewReaderSize(reader, size)
+			reader = growReader(reader, source, size)
 		}
 		if _, err := reader.Peek(len(buffered) + 1); err != nil {
 			return nil, reader, err
@@ -69,6 +70,15 @@
 	}
 }
 
+// growReader returns a reader of the source with a larger buffer, which begins with what the given
+// one has buffered. That one is left empty: bytes that it still held would be lost when the larger
+// one is replaced.
+func growReader(reader *bufio.Reader, source io.Reader, size int) *bufio.Reader {
+	buffered := make([]byte, reader.Buffered())
+	_, _ = io.ReadFull(reader, buffered) // can't fail, as the bytes are buffered
+	return bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), source), size)
+}
+
 // checkHead refuses heads that two HTTP implementations may read differently: with a
 // field that continues on the next line, without exactly one Host (HTTP/1.0 needs none),
 // or with an ambiguous body length, which is one that is stated more than once, or by a
--- a/node/ingress/send.go
+++ b/node/ingress/send.go
@@ -76,8 +76,8 @@
 
 func (w stepWriter) Write(content []byte) (written int, err error) {
 	c := w.conn
-	if len(content) >= writeStepBytes && !c.bounded {
-		c.bounded = true
+	if len(content) >= writeStepBytes && !c.sendBufferBounded {
+		c.sendBufferBounded = true
 		if tcp, ok := c.socket.(*net.TCPConn); ok {
 			_ = tcp.SetWriteBuffer(sendBufferBytes) // if this fails, the buffer is larger
 		}
