link: a body with an invalid remaining length holds no memory

Cause: a call whose frame stated a negative number of bytes to follow was refused, but the lease of its first part was never released; that of a reply only by the garbage collector. Change: both are released with the refusal. Measured: the new case of go test ./node/link -run TestLongBodies failed before (65,535 bytes held) and passes.

--- a/node/link/parts.go
+++ b/node/link/parts.go
@@ -60,6 +60,7 @@
 	lease, ok := c.leaseBody(int64(len(call.Body)) + rest)
 	switch {
 	case rest < 0 || !ok:
+		lease.Release()
 		c.send(outgoing{frame: frame{ID: id}, reply: &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}})
 	case rest == 0:
 		c.serve(id, call, lease)
@@ -75,6 +76,7 @@
 	reply.Lease = lease
 	switch {
 	case rest < 0 || !ok:
+		lease.Release()
 		reply.Outcome, reply.Reason, reply.Body = OutcomeUnknown, ReasonNoMemory, nil
 		c.finish(id, reply)
 	case rest == 0:
--- a/node/link/parts_test.go
+++ b/node/link/parts_test.go
@@ -118,6 +118,21 @@
 		})
 		So(len(ran), ShouldEqual, 0)
 	})
+	Convey("A body whose remaining length is invalid is refused, and nothing is held for it", t, func() {
+		_, address, _, server := pair(t, &fakeNode{name: "server", serve: echo})
+		peer := dialAsPeer(address)
+		first, _ := parts(1)
+		w := newSymbolEncoder().call(&Call{RequestID: "1", Body: first})
+		w.Rest = -1
+		peer.send(&frame{ID: 1, Call: w}, &frame{ID: 2, Ping: true})
+		decoder := gob.NewDecoder(peer.socket)
+		var answer frame
+		for !answer.Pong || answer.ID != 2 {
+			answer = frame{}
+			So(decoder.Decode(&answer), ShouldBeNil)
+		}
+		So(server.budget.Used(), ShouldEqual, 0)
+	})
 	Convey("A call whose connection ends before the last part was written counts as not sent", t, func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
