link: bodies of which no part will follow are dropped

Cause: the frame that gives up a body (Cancel, Broken) is dropped when the sender's queue is full. The receiver then held the lease of the whole body, up to 64 MiB, for as long as the connection lived. The parts of a reply that nobody waited for any more were also kept until its end. Change: at most four times a second, with the next frame, the receiver drops calls 2 s after their deadline and replies without a pending call.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -228,6 +228,7 @@
 	defer c.recoverPanic("connection with a peer")
 	defer c.dropBodies()
 	var symbols symbolDecoder
+	var searchedAt time.Time // for abandoned bodies
 	decoder := gob.NewDecoder(bufio.NewReaderSize(c.socket, bufferBytes))
 	for {
 		var f frame
@@ -239,6 +240,13 @@
 			return
 		}
 		c.handle(&f, &symbols)
+		if len(c.receiving) == 0 {
+			continue
+		}
+		if now := time.Now(); now.Sub(searchedAt) >= abandonedInterval {
+			searchedAt = now
+			c.dropAbandoned(now)
+		}
 	}
 }
 
--- a/node/link/parts.go
+++ b/node/link/parts.go
@@ -21,6 +21,10 @@
 	// uncountedBytes is what the body of a call or reply may have without being counted. The number
 	// of frames that wait on a connection is bounded.
 	uncountedBytes = 16 << 10
+	// cancelDelay is how long after the deadline of a call its sender's Cancel may still arrive.
+	cancelDelay = 2 * time.Second
+	// abandonedInterval is the least time between two searches for abandoned bodies.
+	abandonedInterval = 250 * time.Millisecond
 )
 
 // wirePart is a part of the body of the call or the reply with the frame's ID.
@@ -131,6 +135,23 @@
 	return true
 }
 
+// dropAbandoned gives up bodies of which no part will follow: calls whose deadline has passed, and
+// replies that nobody waits for. The sender's Cancel or Broken is lost if its queue is full.
+func (c *conn) dropAbandoned(now time.Time) {
+	for key, body := range c.receiving {
+		if body.call != nil && now.Sub(body.started) > body.call.RemainingTime+cancelDelay || body.reply != nil && !c.isPending(key.id) {
+			body.lease.Release()
+			delete(c.receiving, key)
+		}
+	}
+}
+
+func (c *conn) isPending(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mu.pending[id] != nil
+}
+
 // dropBodies gives up all bodies of which parts are missing.
 func (c *conn) dropBodies() {
 	for _, body := range c.receiving {
