ingress: a caller that waits for the node doesn't count as stalled

Cause: once the first byte of a request was read, the connection counted as one whose client delays it, also while the node didn't read on: for lack of room in the queue (the 33rd request, or one behind a body of 1 MiB), or before 100 Continue behind another request. Such a connection could be closed for others, and its requests cancelled. Change: while reading is paused the connection waits for others than its client.

--- a/node/ingress/account.go
+++ b/node/ingress/account.go
@@ -101,10 +101,10 @@
 }
 
 // updateWaiting tells the account whether the connection waits for others than its caller: a
-// request is in flight, none is being read, and no response is being written. The caller holds
-// the lock.
+// request is in flight, none is being read or its reading is paused, and no response is being
+// written. The caller holds the lock.
 func (c *conn) updateWaiting() {
-	waiting := c.mu.queue.Len() > 0 && !c.mu.reading && !c.mu.writing
+	waiting := c.mu.queue.Len() > 0 && (!c.mu.reading || c.mu.paused) && !c.mu.writing
 	if waiting != c.mu.waiting {
 		c.mu.waiting = waiting
 		c.account.SetWaiting(waiting)
--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -61,6 +61,7 @@
 		queue     pipeline.Queue[*exchange]
 		unused    bool      // no request has been read yet
 		reading   bool      // a request has arrived in part
+		paused    bool      // reading it waits for the responses ahead
 		writing   bool      // a goroutine is writing responses
 		pipelined bool      // the caller has sent a request before the response to the previous one
 		stopping  bool      // the server is stopping
@@ -171,10 +172,19 @@
 func (c *conn) awaitRoom() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.mu.aborted && !c.mu.queue.HasRoom() && !c.mu.queue.IsClosed() {
+	c.pauseReading(func() bool { return !c.mu.queue.HasRoom() && !c.mu.queue.IsClosed() })
+	return !c.mu.aborted && !c.mu.queue.IsClosed()
+}
+
+// pauseReading waits while the condition holds and the connection is open. The caller holds the lock.
+func (c *conn) pauseReading(condition func() bool) {
+	for !c.mu.aborted && condition() {
+		c.mu.paused = true
+		c.updateWaiting()
 		c.mu.changed.Wait()
 	}
-	return !c.mu.aborted && !c.mu.queue.IsClosed()
+	c.mu.paused = false
+	c.updateWaiting()
 }
 
 // readRequest reads a request and adds it to the queue. It returns false if it was the
@@ -258,9 +268,7 @@
 // writeContinue asks the caller for the body, once the responses ahead are written.
 func (c *conn) writeContinue() {
 	c.mu.Lock()
-	for !c.mu.aborted && (c.mu.queue.Len() > 0 || c.mu.writing) {
-		c.mu.changed.Wait()
-	}
+	c.pauseReading(func() bool { return c.mu.queue.Len() > 0 || c.mu.writing })
 	c.mu.Unlock()
 	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed socket
 	_, _ = io.WriteString(c.socket, continueResponse)           // if this fails, reading the body does, too
