ingress: the idle time before a request doesn't count as a stall

Cause: a holder isn't given room while its own product of bytes and time without progress is the largest. For a connection that had been idle, the idle time counted, so its next request, however small, was refused with 503 while newer clients held most of the memory. Change: the time without progress begins anew with the first byte of a request on an idle connection (membudget.Account.Restart). A request that doesn't go on ends by headerTimeoutS or as a stalled body.

--- a/membudget/account.go
+++ b/membudget/account.go
@@ -216,6 +216,10 @@
 	}
 }
 
+// Restart begins the time without progress anew, when the client of an idle holder sends again. The
+// idle time would otherwise count against its next request.
+func (a *Account[T]) Restart(now time.Time, h *Holder[T]) { h.mark = now }
+
 // SetWaiting states whether the holder waits for others than its client. While it does it isn't
 // evicted, and the time doesn't count.
 func (a *Account[T]) SetWaiting(now time.Time, h *Holder[T], waiting bool) {
--- a/membudget/account_test.go
+++ b/membudget/account_test.go
@@ -145,7 +145,7 @@
 				}
 				h := rapid.SampledFrom(all).Draw(t, "holder")
 				bytes := rapid.Int64Range(0, mib).Draw(t, "bytes")
-				switch rapid.IntRange(0, 5).Draw(t, "event") {
+				switch rapid.IntRange(0, 6).Draw(t, "event") {
 				case 0:
 					held := h.Held()
 					granted, evicted := a.Take(now, h, bytes)
@@ -165,6 +165,8 @@
 					a.Progress(now, h, bytes)
 				case 4:
 					a.Close(h)
+				case 6:
+					a.Restart(now, h)
 				case 5:
 					to := rapid.SampledFrom(all).Draw(t, "to")
 					if a.used+h.Held() <= limits.Bytes {
--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -123,6 +123,9 @@
 		c.mu.reading = err == nil
 		c.updateWaiting()
 		busy, stopping, idleSince := c.mu.queue.Len() > 0, c.mu.stopping, c.mu.idleSince
+		if err == nil && !busy {
+			c.account.Restart()
+		}
 		c.mu.Unlock()
 		switch {
 		case err == nil:
--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -197,6 +197,14 @@
 	b.mu.account.Progress(b.now(), c.holder, int64(bytes))
 }
 
+// Restart begins the time without progress anew, when the client sends again after an idle time.
+func (c *Client) Restart() {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.mu.account.Restart(b.now(), c.holder)
+}
+
 // SetWaiting states whether the connection waits for others than its client. Meanwhile it isn't
 // evicted.
 func (c *Client) SetWaiting(waiting bool) {
