ingress: every read of a body counts as progress

Cause: progress was recorded once a part of 64 KiB was complete, so a client that steadily sent less than 64 KiB a second made none for more than 1 s, and was evicted for other large bodies, although its rate was above the minimum of 4 KiB a second. Change: progress is recorded with each read of a body.

--- a/node/ingress/account.go
+++ b/node/ingress/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"time"
 
@@ -75,10 +76,17 @@
 	c.headBytes = 0
 }
 
-// takePart takes memory for the next part of a body. The part before it was read.
-func (c *conn) takePart(bytes int64) bool {
-	c.account.Progress(int(bytes))
-	return c.account.Take(bytes)
+// progressReader records what is read of a body as progress of its client. The parts of a body are
+// too large for that: a steady sender may need many seconds for one.
+type progressReader struct {
+	io.Reader
+	account *memory.Client
+}
+
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.account.Progress(n)
+	return n, err
 }
 
 // takeResponse makes the connection hold the body of a response, and returns its bytes. The caller
--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -258,7 +258,7 @@
 	if expectsContinue(head) {
 		c.writeContinue()
 	}
-	first, rest, taken, err = memory.ReadBody(head.Body, head.ContentLength, maxBytes, c.takePart)
+	first, rest, taken, err = memory.ReadBody(progressReader{head.Body, c.account}, head.ContentLength, maxBytes, c.account.Take)
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		err = errBodyTooLarge
