link: a body with more bytes than were stated is broken

Cause: a reply whose parts held more bytes than its first frame stated was passed on as a whole response, with bytes for which no memory had been taken. Change: such a reply has an unknown outcome, and such a call is refused before it runs.

--- a/node/link/parts.go
+++ b/node/link/parts.go
@@ -65,7 +65,7 @@
 	switch {
 	case rest < 0 || !ok:
 		lease.Release()
-		c.send(outgoing{frame: frame{ID: id}, reply: &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}})
+		c.refuseCall(id)
 	case rest == 0:
 		c.serve(id, call, lease)
 	default:
@@ -73,6 +73,11 @@
 	}
 }
 
+// refuseCall states that a call has not run, since its body can't be held.
+func (c *conn) refuseCall(id uint64) {
+	c.send(outgoing{frame: frame{ID: id}, reply: &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}})
+}
+
 // receiveReply ends a call, or waits for the rest of the reply's body.
 func (c *conn) receiveReply(id uint64, reply *Reply, rest int64) {
 	lease, ok := c.leaseBody(int64(len(reply.Body)) + rest)
@@ -97,15 +102,17 @@
 	if body == nil {
 		return
 	}
-	if part.Broken {
+	body.missing -= int64(len(part.Data))
+	if part.Broken || body.missing < 0 { // more bytes than were stated are not a whole body either
 		delete(c.receiving, key)
 		body.lease.Release()
 		if body.reply != nil {
 			c.finish(id, &Reply{Outcome: OutcomeUnknown, Reason: ReasonBroken, Arrived: true})
+		} else {
+			c.refuseCall(id)
 		}
 		return
 	}
-	body.missing -= int64(len(part.Data))
 	if body.call != nil {
 		body.call.Rest = append(body.call.Rest, part.Data)
 	} else {
--- a/node/link/parts_test.go
+++ b/node/link/parts_test.go
@@ -133,6 +133,32 @@
 		}
 		So(server.budget.Used(), ShouldEqual, 0)
 	})
+	Convey("A reply with more bytes than were stated is broken, not complete", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = listener.Close() }()
+		go func() {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			first, rest := parts(2)
+			w := newSymbolEncoder().reply(&Reply{Outcome: OutcomeResponded, Arrived: true, Status: 200, Body: first})
+			w.Rest = 10
+			encoder := gob.NewEncoder(socket)
+			for _, f := range []*frame{{Hello: &Hello{TakesParts: true}}, {ID: 1, Reply: w}, {ID: 1, Part: &wirePart{OfReply: true, Data: rest[0]}}} {
+				_ = encoder.Encode(f)
+			}
+		}()
+		client := NewPool(&fakeNode{name: "caller", serve: echo}, time.Now)
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		reply, err := client.Do(ctx, listener.Addr().String(), call("1"))
+		So(err, ShouldBeNil)
+		So(reply.Outcome, ShouldEqual, OutcomeUnknown)
+		So(client.budget.Used(), ShouldEqual, 0)
+	})
 	Convey("A call whose connection ends before the last part was written counts as not sent", t, func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
