ingress: a test sets the server's account before it accepts connections

Cause: TestRequestAfterAnIdleTime replaced the account while the accepting goroutine ran, which is a data race in the test. Change: the fixture takes a function that runs before Serve; no assertion is changed.

--- a/node/ingress/fixture_test.go
+++ b/node/ingress/fixture_test.go
@@ -141,6 +141,11 @@
 }
 
 func newFixture(t *testing.T, limits Limits) *fixture {
+	return newFixtureWith(t, limits, func(*fixture) {})
+}
+
+// newFixtureWith is like newFixture; configure changes the server before it accepts connections.
+func newFixtureWith(t *testing.T, limits Limits, configure func(f *fixture)) *fixture {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -149,6 +154,7 @@
 	f.gatedHandler.limits = limits
 	f.server = NewServer(plainDialect{}, f.gatedHandler, 0, time.Now)
 	f.server.OnUnexpected = func(_ string, err error) { f.unexpected <- err }
+	configure(f)
 	go func() { _ = f.server.Serve(listener) }()
 	t.Cleanup(func() {
 		_ = listener.Close()
--- a/node/ingress/idle_test.go
+++ b/node/ingress/idle_test.go
@@ -16,9 +16,8 @@
 	Convey("Given an idle connection, and a client that fills the memory later", t, func() {
 		start := time.Now()
 		var elapsed atomic.Int64
-		f := newFixture(t, Limits{})
 		budget := memory.NewBudget(2<<20, 0, func() time.Time { return start.Add(time.Duration(elapsed.Load())) })
-		f.server.UseBudget(budget) // no connection has been accepted yet
+		f := newFixtureWith(t, Limits{}, func(f *fixture) { f.server.UseBudget(budget) })
 		f.release("1")
 		c := f.dial()
 		So(f.holds(memory.ConnectionBytes), ShouldBeTrue)
