ingress: the next response in order is written while the memory is full

Cause: if the account had no room for a response, its connection was closed whenever the connection had further requests in flight, also if this response was next in order and the caller was reading. Change: it is closed only if the response would have to be held behind others (pipeline.Queue.IsFirst). Measured: go test ./node/ingress -run TestNextResponseWhileMemoryIsFull failed before in 3 of 3 runs (connection closed) and passes 5 of 5 with -race.

--- a/node/ingress/account.go
+++ b/node/ingress/account.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumford/gypsumford/node/memory"
+	"github.com/gypsumford/gypsumford/pipeline"
 )
 
 // requestOverheadBytes is what a request holds besides its head and body: the stack of its
@@ -89,9 +90,9 @@
 	return n, err
 }
 
-// takeResponse makes the connection hold the body of a response, and returns its bytes. The caller
-// holds the lock.
-func (c *conn) takeResponse(r *Response) int {
+// takeResponse makes the connection hold the body of a response, and returns its bytes. If there is
+// no room for them, the response is written only if it is next in order. The caller holds the lock.
+func (c *conn) takeResponse(entry *pipeline.Entry[*exchange], r *Response) int {
 	size := memory.Size(r.Body, r.Rest)
 	if r.Lease != nil {
 		if c.account.Receive(r.Lease) {
@@ -102,8 +103,8 @@
 	if size == 0 || c.account.Take(int64(size)) {
 		return size
 	}
-	if c.mu.queue.Len() > 1 {
-		go c.abort() // the caller doesn't read the responses ahead
+	if !c.mu.queue.IsFirst(entry) {
+		go c.abort() // it would have to be held until the responses ahead are written
 	}
 	return 0
 }
--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -374,7 +374,7 @@
 		response.Lease.Release()
 		return
 	}
-	c.mu.queue.Done(entry, c.takeResponse(response))
+	c.mu.queue.Done(entry, c.takeResponse(entry, response))
 	if c.mu.writing {
 		return
 	}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -91,6 +91,11 @@
 	q.bytes += bytes
 }
 
+// IsFirst reports whether no response is to be sent before the one to this request.
+func (q *Queue[T]) IsFirst(entry *Entry[T]) bool {
+	return len(q.entries) > 0 && q.entries[0] == entry
+}
+
 // Ready returns the request whose response is to be sent now, or nil if there is none.
 func (q *Queue[T]) Ready() *Entry[T] {
 	if len(q.entries) == 0 || !q.entries[0].done {
