link: a long call whose caller has left isn't sent

Cause: a long body waits up to 1 s for the peer's Hello. If the caller left meanwhile, the wait ended, and the call was sent in one piece nevertheless, as to a peer of an earlier build; it could run. Change: nothing is sent once the context has ended in that wait. Measured: go test ./node/link -run TestCallerThatLeavesBeforeTheCallIsSent failed before (2 frames queued) and passes.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -392,6 +392,9 @@
 func (c *conn) do(ctx context.Context, call *Call) (*Reply, error) {
 	p := &pendingCall{done: make(chan struct{})}
 	if len(call.Rest) > 0 && !c.takesParts(ctx) {
+		if ctx.Err() != nil {
+			return nil, ctx.Err() // the caller left before anything was sent
+		}
 		body, lease, ok := c.joinBody(call.Body, call.Rest)
 		if !ok {
 			return &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}, nil
