link: a connection that receives a long body is in use

Cause: a call of which parts are missing is neither pending nor served, so the receiver counted the connection as unused and closed it 60 s after the last other call, in the middle of a body. Change: the first frame and each part of a body begin that time anew. Measured: go test ./node/link -run TestConnectionThatReceivesALongBodyIsInUse failed before and passes; go test -race ./node/link passes.

--- a/node/link/parts.go
+++ b/node/link/parts.go
@@ -69,10 +69,19 @@
 	case rest == 0:
 		c.serve(id, call, lease)
 	default:
+		c.recordUse()
 		c.receiving[bodyKey{id, false}] = &receivedBody{call: call, lease: lease, missing: rest, started: time.Now()}
 	}
 }
 
+// recordUse begins the time anew after which an unused connection is closed. A call of which parts
+// are missing isn't among those that are served.
+func (c *conn) recordUse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mu.idleTicks = 0
+}
+
 // refuseCall states that a call has not run, since its body can't be held.
 func (c *conn) refuseCall(id uint64) {
 	c.send(outgoing{frame: frame{ID: id}, reply: &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}})
@@ -102,6 +111,7 @@
 	if body == nil {
 		return
 	}
+	c.recordUse()
 	body.missing -= int64(len(part.Data))
 	if part.Broken || body.missing < 0 { // more bytes than were stated are not a whole body either
 		delete(c.receiving, key)
