node: all parts of a long body count as bytes that leave the domain

Cause: since long bodies are held in parts, the metric of the bytes that leave the failure domain counted the first 64 KiB of each body only. Change: it counts all parts, as the choice of the target does.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -364,11 +364,12 @@
 	}
 	d.domains.relieve(now, r.service, &choice, reply)
 	t.recordReply(now, r.route.Name, r.service, reply)
-	d.domains.ended(r.service, &choice, len(r.Body)+len(reply.Body))
+	bodyBytes := memory.Size(r.Body, r.Rest) + memory.Size(reply.Body, reply.Rest)
+	d.domains.ended(r.service, &choice, bodyBytes)
 	switch {
 	case reply.Outcome == link.OutcomeResponded:
 		failed := reply.Status >= http.StatusInternalServerError
-		t.mu.balance.Responded(now, id, r.route.Name, reply.Duration, memory.Size(r.Body, r.Rest)+memory.Size(reply.Body, reply.Rest), load, failed)
+		t.mu.balance.Responded(now, id, r.route.Name, reply.Duration, bodyBytes, load, failed)
 	case reply.Reason == link.ReasonCancelled:
 		t.mu.balance.Cancelled(now, id, r.route.Name, now.Sub(r.sentAt))
 	case reply.Reason == link.ReasonUnreachable || reply.Reason == link.ReasonTargetChanged:
