link: a reply holds its memory until it is written

Cause: the lease of a reply was released when the reply was queued. Up to 2,048 replies of 64 KiB could wait, uncounted, on a connection whose peer didn't read, until it was closed as silent. Change: the lease passes to the queued frame and is released when that is written, and by the garbage collector if the connection ends before. A long body is counted until its last part is queued, as before.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -76,6 +76,7 @@
 	// pending is set with call, and with the last part of its body. Once that is written, the call
 	// may run.
 	pending *pendingCall
+	lease   *memory.Lease   // of the memory of the reply, released when it was written; may be nil
 	written chan<- struct{} // receives when the frame was written; nil if nobody waits
 }
 
@@ -211,6 +212,7 @@
 		if err := encoder.Encode(&o.frame); err != nil {
 			return err
 		}
+		o.lease.Release()
 		if o.written != nil {
 			o.written <- struct{}{} // has room, as it holds as many as may wait
 		}
--- a/node/link/parts.go
+++ b/node/link/parts.go
@@ -246,10 +246,17 @@
 	return memory.Join(first, rest), lease, true
 }
 
-// sendReply sends a reply with all parts of its body, and then gives back its memory.
+// sendReply sends a reply with all parts of its body. Its memory is given back once it is written, or
+// once its last part is queued. If the connection ends before, the garbage collector gives it back.
 func (c *conn) sendReply(ctx context.Context, id uint64, reply *Reply) {
+	if len(reply.Rest) == 0 {
+		if !c.send(outgoing{frame: frame{ID: id}, reply: reply, lease: reply.Lease}) {
+			reply.Lease.Release()
+		}
+		return
+	}
 	defer reply.Lease.Release()
-	if len(reply.Rest) > 0 && !c.takesParts(ctx) {
+	if !c.takesParts(ctx) {
 		body, lease, ok := c.joinBody(reply.Body, reply.Rest)
 		defer lease.Release()
 		if !ok {
