ingress: the lease of a response is given back whole

Cause: the bytes of a lease were moved to the connection, but only those of the body were given back after the response. A lease is larger than the body if the target states no length: 64 KiB for a chunked response of 5 KiB. So each such response of the local target took up to 60 KiB from the account of the process for good, also beyond the end of the connection, until requests with a body were refused. Change: memory.Client.Receive returns the bytes that it moved, which are given back after the response.

--- a/node/ingress/account.go
+++ b/node/ingress/account.go
@@ -90,15 +90,12 @@
 	return n, err
 }
 
-// takeResponse makes the connection hold the body of a response, and returns its bytes. If there is
+// takeResponse makes the connection hold the body of a response, and returns the bytes that it took. If there is
 // no room for them, the response is written only if it is next in order. The caller holds the lock.
 func (c *conn) takeResponse(entry *pipeline.Entry[*exchange], r *Response) int {
 	size := memory.Size(r.Body, r.Rest)
 	if r.Lease != nil {
-		if c.account.Receive(r.Lease) {
-			return size
-		}
-		return 0 // the connection was evicted
+		return int(c.account.Receive(r.Lease))
 	}
 	if size == 0 || c.account.Take(int64(size)) {
 		return size
--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -175,18 +175,22 @@
 // Release gives back bytes.
 func (c *Client) Release(bytes int64) { c.budget.release(c.holder, bytes) }
 
-// Receive moves the bytes of a lease to the connection. It returns false if the connection was
+// Receive moves the bytes of a lease to the connection, and returns how many they are: at least those
+// of the body, since room is taken before its length is known. It returns 0 if the connection was
 // evicted; the lease is released in any case.
-func (c *Client) Receive(l *Lease) bool {
+func (c *Client) Receive(l *Lease) (bytes int64) {
 	if l == nil {
-		return true
+		return 0
 	}
 	b := c.budget
 	b.mu.Lock()
-	moved := b.mu.account.Move(l.state.holder, c.holder, l.state.holder.Held())
+	bytes = l.state.holder.Held()
+	if !b.mu.account.Move(l.state.holder, c.holder, bytes) {
+		bytes = 0
+	}
 	b.mu.Unlock()
 	l.Release()
-	return moved
+	return bytes
 }
 
 // Progress records that the client has sent or read bytes.
--- a/node/memory/budget_test.go
+++ b/node/memory/budget_test.go
@@ -24,7 +24,7 @@
 		So(c.Open(), ShouldBeTrue)
 		l := b.Lease(1 << 20)
 		So(l.Grow(1<<20), ShouldBeTrue)
-		So(c.Receive(l), ShouldBeTrue)
+		So(c.Receive(l), ShouldEqual, 2<<20)
 		So(b.Used(), ShouldEqual, 2<<20+ConnectionBytes)
 		l.Release()
 		So(b.Used(), ShouldEqual, 2<<20+ConnectionBytes)
