ingress: heads of responses are counted

Cause: a response that waits behind others held up to 64 KiB for its head, 32 of them on a connection, without being counted. Change: the bytes of its fields are taken with those of its body.

--- a/node/ingress/account.go
+++ b/node/ingress/account.go
@@ -90,20 +90,29 @@
 	return n, err
 }
 
-// takeResponse makes the connection hold the body of a response, and returns the bytes that it took. If there is
+// takeResponse makes the connection hold a response, and returns the bytes that it took. If there is
 // no room for them, the response is written only if it is next in order. The caller holds the lock.
 func (c *conn) takeResponse(entry *pipeline.Entry[*exchange], r *Response) int {
-	size := memory.Size(r.Body, r.Rest)
-	if r.Lease != nil {
-		return int(c.account.Receive(r.Lease))
+	moved := int(c.account.Receive(r.Lease))
+	size := fieldsBytes(r.Header)
+	if r.Lease == nil {
+		size += memory.Size(r.Body, r.Rest)
 	}
 	if size == 0 || c.account.Take(int64(size)) {
-		return size
+		return moved + size
 	}
 	if !c.mu.queue.IsFirst(entry) {
 		go c.abort() // it would have to be held until the responses ahead are written
 	}
-	return 0
+	return moved
+}
+
+// fieldsBytes returns the bytes of alternating names and values.
+func fieldsBytes(fields []string) (size int) {
+	for _, text := range fields {
+		size += len(text)
+	}
+	return size
 }
 
 // updateWaiting tells the account whether the connection waits for others than its caller: a
