--- a/node/ingress/account.go
+++ b/node/ingress/account.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/gypsumford/gypsumford/node/memory"
+	"github.com/gypsumford/gypsumford/pipeline"
 )
 
 // requestOverheadBytes is what a request holds besides its head and body: the stack of its
@@ -75,36 +77,49 @@
 	c.headBytes = 0
 }
 
-// takePart takes memory for the next part of a body. The part before it was read.
-func (c *conn) takePart(bytes int64) bool {
-	c.account.Progress(int(bytes))
-	return c.account.Take(bytes)
+// progressReader records what is read of a body as progress of its client. The parts of a body are
+// too large for that: a steady sender may need many seconds for one.
+type progressReader struct {
+	io.Reader
+	account *memory.Client
 }
 
-// takeResponse makes the connection hold the body of a response, and returns its bytes. The caller
-// holds the lock.
-func (c *conn) takeResponse(r *Response) int {
-	size := memory.Size(r.Body, r.Rest)
-	if r.Lease != nil {
-		if c.account.Receive(r.Lease) {
-			return size
-		}
-		return 0 // the connection was evicted
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.account.Progress(n)
+	return n, err
+}
+
+// takeResponse makes the connection hold a response, and returns the bytes that it took. If there is
+// no room for them, the response is written only if it is next in order. The caller holds the lock.
+func (c *conn) takeResponse(entry *pipeline.Entry[*exchange], r *Response) int {
+	moved := int(c.account.Receive(r.Lease))
+	size := fieldsBytes(r.Header)
+	if r.Lease == nil {
+		size += memory.Size(r.Body, r.Rest)
 	}
 	if size == 0 || c.account.Take(int64(size)) {
-		return size
+		return moved + size
 	}
-	if c.mu.queue.Len() > 1 {
-		go c.abort() // the caller doesn't read the responses ahead
+	if !c.mu.queue.IsFirst(entry) {
+		go c.abort() // it would have to be held until the responses ahead are written
+	}
+	return moved
+}
+
+// fieldsBytes returns the bytes of alternating names and values.
+func fieldsBytes(fields []string) (size int) {
+	for _, text := range fields {
+		size += len(text)
 	}
-	return 0
+	return size
 }
 
 // updateWaiting tells the account whether the connection waits for others than its caller: a
-// request is in flight, none is being read, and no response is being written. The caller holds
-// the lock.
+// request is in flight, none is being read or its reading is paused, and no response is being
+// written. The caller holds the lock.
 func (c *conn) updateWaiting() {
-	waiting := c.mu.queue.Len() > 0 && !c.mu.reading && !c.mu.writing
+	waiting := c.mu.queue.Len() > 0 && (!c.mu.reading || c.mu.paused) && !c.mu.writing
 	if waiting != c.mu.waiting {
 		c.mu.waiting = waiting
 		c.account.SetWaiting(waiting)
--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -42,18 +42,18 @@
 
 // conn is a connection of a caller.
 type conn struct {
-	server *Server
-	socket net.Conn
-	reader *bufio.Reader // used by the goroutine in serve only
-	ctx    context.Context
-	cancel context.CancelFunc
-	// account is what the connection holds. headBytes, of the read buffer beyond its initial size,
-	// and bounded, set when the send buffer is bounded, are used by the reading and the writing
-	// goroutine only.
-	account   *memory.Client
-	admitted  bool // there was room for the connection
+	server   *Server
+	socket   net.Conn
+	reader   *bufio.Reader // used by the goroutine in serve only
+	ctx      context.Context
+	cancel   context.CancelFunc
+	account  *memory.Client // what the connection holds
+	admitted bool           // there was room for the connection
+	// headBytes is the size of the read buffer beyond its initial size; used by the goroutine in
+	// serve only.
 	headBytes int
-	bounded   bool
+	// sendBufferBounded is set once the send buffer is bounded; used while writing is set only.
+	sendBufferBounded bool
 
 	mu struct {
 		sync.Mutex
@@ -61,6 +61,7 @@
 		queue     pipeline.Queue[*exchange]
 		unused    bool      // no request has been read yet
 		reading   bool      // a request has arrived in part
+		paused    bool      // reading it waits for the responses ahead
 		writing   bool      // a goroutine is writing responses
 		pipelined bool      // the caller has sent a request before the response to the previous one
 		stopping  bool      // the server is stopping
@@ -122,6 +123,9 @@
 		c.mu.reading = err == nil
 		c.updateWaiting()
 		busy, stopping, idleSince := c.mu.queue.Len() > 0, c.mu.stopping, c.mu.idleSince
+		if err == nil && !busy {
+			c.account.Restart()
+		}
 		c.mu.Unlock()
 		switch {
 		case err == nil:
@@ -171,10 +175,19 @@
 func (c *conn) awaitRoom() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.mu.aborted && !c.mu.queue.HasRoom() && !c.mu.queue.IsClosed() {
+	c.pauseReading(func() bool { return !c.mu.queue.HasRoom() && !c.mu.queue.IsClosed() })
+	return !c.mu.aborted && !c.mu.queue.IsClosed()
+}
+
+// pauseReading waits while the condition holds and the connection is open. The caller holds the lock.
+func (c *conn) pauseReading(condition func() bool) {
+	for !c.mu.aborted && condition() {
+		c.mu.paused = true
+		c.updateWaiting()
 		c.mu.changed.Wait()
 	}
-	return !c.mu.aborted && !c.mu.queue.IsClosed()
+	c.mu.paused = false
+	c.updateWaiting()
 }
 
 // readRequest reads a request and adds it to the queue. It returns false if it was the
@@ -190,7 +203,7 @@
 	}
 	arrived := c.server.now()
 	_ = c.socket.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed socket
-	head, reader, err := readHeadIn(c.reader, maxHead, c.takeHead)
+	head, reader, err := readHeadIn(c.reader, c.socket, maxHead, c.takeHead)
 	c.reader = reader
 	if err == nil && !c.account.Take(int64(requestBytes(head))) {
 		err = errBufferFull
@@ -245,7 +258,7 @@
 	if expectsContinue(head) {
 		c.writeContinue()
 	}
-	first, rest, taken, err = memory.ReadBody(head.Body, head.ContentLength, maxBytes, c.takePart)
+	first, rest, taken, err = memory.ReadBody(progressReader{head.Body, c.account}, head.ContentLength, maxBytes, c.account.Take)
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		err = errBodyTooLarge
@@ -258,9 +271,7 @@
 // writeContinue asks the caller for the body, once the responses ahead are written.
 func (c *conn) writeContinue() {
 	c.mu.Lock()
-	for !c.mu.aborted && (c.mu.queue.Len() > 0 || c.mu.writing) {
-		c.mu.changed.Wait()
-	}
+	c.pauseReading(func() bool { return c.mu.queue.Len() > 0 || c.mu.writing })
 	c.mu.Unlock()
 	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed socket
 	_, _ = io.WriteString(c.socket, continueResponse)           // if this fails, reading the body does, too
@@ -363,7 +374,7 @@
 		response.Lease.Release()
 		return
 	}
-	c.mu.queue.Done(entry, c.takeResponse(response))
+	c.mu.queue.Done(entry, c.takeResponse(entry, response))
 	if c.mu.writing {
 		return
 	}
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -76,6 +76,7 @@
 	// pending is set with call, and with the last part of its body. Once that is written, the call
 	// may run.
 	pending *pendingCall
+	lease   *memory.Lease   // of the memory of the reply, released when it was written; may be nil
 	written chan<- struct{} // receives when the frame was written; nil if nobody waits
 }
 
@@ -211,6 +212,7 @@
 		if err := encoder.Encode(&o.frame); err != nil {
 			return err
 		}
+		o.lease.Release()
 		if o.written != nil {
 			o.written <- struct{}{} // has room, as it holds as many as may wait
 		}
@@ -228,6 +230,7 @@
 	defer c.recoverPanic("connection with a peer")
 	defer c.dropBodies()
 	var symbols symbolDecoder
+	var searchedAt time.Time // for abandoned bodies
 	decoder := gob.NewDecoder(bufio.NewReaderSize(c.socket, bufferBytes))
 	for {
 		var f frame
@@ -239,6 +242,13 @@
 			return
 		}
 		c.handle(&f, &symbols)
+		if len(c.receiving) == 0 {
+			continue
+		}
+		if now := time.Now(); now.Sub(searchedAt) >= abandonedInterval {
+			searchedAt = now
+			c.dropAbandoned(now)
+		}
 	}
 }
 
@@ -384,6 +394,9 @@
 func (c *conn) do(ctx context.Context, call *Call) (*Reply, error) {
 	p := &pendingCall{done: make(chan struct{})}
 	if len(call.Rest) > 0 && !c.takesParts(ctx) {
+		if ctx.Err() != nil {
+			return nil, ctx.Err() // the caller left before anything was sent
+		}
 		body, lease, ok := c.joinBody(call.Body, call.Rest)
 		if !ok {
 			return &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}, nil
--- a/node/link/parts.go
+++ b/node/link/parts.go
@@ -21,6 +21,10 @@
 	// uncountedBytes is what the body of a call or reply may have without being counted. The number
 	// of frames that wait on a connection is bounded.
 	uncountedBytes = 16 << 10
+	// cancelDelay is how long after the deadline of a call its sender's Cancel may still arrive.
+	cancelDelay = 2 * time.Second
+	// abandonedInterval is the least time between two searches for abandoned bodies.
+	abandonedInterval = 250 * time.Millisecond
 )
 
 // wirePart is a part of the body of the call or the reply with the frame's ID.
@@ -60,14 +64,29 @@
 	lease, ok := c.leaseBody(int64(len(call.Body)) + rest)
 	switch {
 	case rest < 0 || !ok:
-		c.send(outgoing{frame: frame{ID: id}, reply: &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}})
+		lease.Release()
+		c.refuseCall(id)
 	case rest == 0:
 		c.serve(id, call, lease)
 	default:
+		c.recordUse()
 		c.receiving[bodyKey{id, false}] = &receivedBody{call: call, lease: lease, missing: rest, started: time.Now()}
 	}
 }
 
+// recordUse begins the time anew after which an unused connection is closed. A call of which parts
+// are missing isn't among those that are served.
+func (c *conn) recordUse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mu.idleTicks = 0
+}
+
+// refuseCall states that a call has not run, since its body can't be held.
+func (c *conn) refuseCall(id uint64) {
+	c.send(outgoing{frame: frame{ID: id}, reply: &Reply{Outcome: OutcomeNotRun, Reason: ReasonNoMemory}})
+}
+
 // receiveReply ends a call, or waits for the rest of the reply's body.
 func (c *conn) receiveReply(id uint64, reply *Reply, rest int64) {
 	lease, ok := c.leaseBody(int64(len(reply.Body)) + rest)
@@ -75,6 +94,7 @@
 	reply.Lease = lease
 	switch {
 	case rest < 0 || !ok:
+		lease.Release()
 		reply.Outcome, reply.Reason, reply.Body = OutcomeUnknown, ReasonNoMemory, nil
 		c.finish(id, reply)
 	case rest == 0:
@@ -91,15 +111,18 @@
 	if body == nil {
 		return
 	}
-	if part.Broken {
+	c.recordUse()
+	body.missing -= int64(len(part.Data))
+	if part.Broken || body.missing < 0 { // more bytes than were stated are not a whole body either
 		delete(c.receiving, key)
 		body.lease.Release()
 		if body.reply != nil {
 			c.finish(id, &Reply{Outcome: OutcomeUnknown, Reason: ReasonBroken, Arrived: true})
+		} else {
+			c.refuseCall(id)
 		}
 		return
 	}
-	body.missing -= int64(len(part.Data))
 	if body.call != nil {
 		body.call.Rest = append(body.call.Rest, part.Data)
 	} else {
@@ -129,6 +152,23 @@
 	return true
 }
 
+// dropAbandoned gives up bodies of which no part will follow: calls whose deadline has passed, and
+// replies that nobody waits for. The sender's Cancel or Broken is lost if its queue is full.
+func (c *conn) dropAbandoned(now time.Time) {
+	for key, body := range c.receiving {
+		if body.call != nil && now.Sub(body.started) > body.call.RemainingTime+cancelDelay || body.reply != nil && !c.isPending(key.id) {
+			body.lease.Release()
+			delete(c.receiving, key)
+		}
+	}
+}
+
+func (c *conn) isPending(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mu.pending[id] != nil
+}
+
 // dropBodies gives up all bodies of which parts are missing.
 func (c *conn) dropBodies() {
 	for _, body := range c.receiving {
@@ -206,10 +246,17 @@
 	return memory.Join(first, rest), lease, true
 }
 
-// sendReply sends a reply with all parts of its body, and then gives back its memory.
+// sendReply sends a reply with all parts of its body. Its memory is given back once it is written, or
+// once its last part is queued. If the connection ends before, the garbage collector gives it back.
 func (c *conn) sendReply(ctx context.Context, id uint64, reply *Reply) {
+	if len(reply.Rest) == 0 {
+		if !c.send(outgoing{frame: frame{ID: id}, reply: reply, lease: reply.Lease}) {
+			reply.Lease.Release()
+		}
+		return
+	}
 	defer reply.Lease.Release()
-	if len(reply.Rest) > 0 && !c.takesParts(ctx) {
+	if !c.takesParts(ctx) {
 		body, lease, ok := c.joinBody(reply.Body, reply.Rest)
 		defer lease.Release()
 		if !ok {
