retrybudget: keep the sums that each decision needs

Cause: headroom summed 80 buckets and reserved 2048 levels on each retry, and headroom on each request at the entry, under the locks of the ledger and of the node's tables. Change: the sums of closed buckets and of the levels are kept, and computed again when a bucket begins or an earlier one changes.

--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -150,7 +150,7 @@
 		if cost > remaining || c.reserved(level)+cost > max(recentShare*whole, min(whole, 1)) {
 			granted = false
 		}
-		c.newestByLevel().wanted[level] += float32(cost)
+		c.want(level, cost)
 	}
 	if !granted {
 		return false
@@ -163,9 +163,7 @@
 
 // Spend records a retry that isn't asked for, such as a call of a run that is repeated.
 func (b *Budget) Spend(now time.Time, importance Importance, charge Charge) {
-	c := b.counter(now, charge.Service)
-	c.newest().granted += charge.cost()
-	c.newestByLevel().granted[importance.level()] += float32(charge.cost())
+	b.counter(now, charge.Service).grant(importance.level(), charge.cost())
 }
 
 // Refund gives back the charge of a retry that was spent at the time at and didn't reach a
--- a/retrybudget/window.go
+++ b/retrybudget/window.go
@@ -1,6 +1,9 @@
 package retrybudget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// bucketsPerWindow is even, as operators count requests from half a window before.
@@ -30,7 +33,25 @@
 type counter struct {
 	totals       [bucketsKept]totals
 	recent       [recentBuckets]byLevel
-	newestNumber int64 // number of the newest bucket since the epoch
+	sums         levelSums // of recent
+	newestNumber int64     // number of the newest bucket since the epoch
+	// windows are the sums over all buckets but the newest one, valid until another bucket
+	// changes. Nearly all calls change the newest one alone.
+	windows      [bucketsPerWindow]windowSums
+	windowsValid bool
+}
+
+// levelSums are retries by level. They are computed again with each new bucket, so that errors of
+// rounding don't accumulate.
+type levelSums struct{ granted, wanted [levels]float64 }
+
+// windowSums are the sums of a window that begins with one of the kept buckets, without the newest
+// bucket.
+type windowSums struct {
+	before  float64 // requests in the window before it
+	after   float64 // requests in it
+	between float64 // requests in the window half a window before it
+	granted float64 // retries in it
 }
 
 // bucketNumber returns the number of the bucket that the time falls in.
@@ -38,23 +59,51 @@
 	return at.UnixNano() / max(int64(window)/bucketsPerWindow, 1)
 }
 
-// at returns the counts of the bucket that the time falls in, nil if they aren't kept any more.
+// at returns the counts of the bucket that the time falls in, to be changed, or nil if they aren't
+// kept any more.
 func (c *counter) at(at time.Time, window time.Duration) *totals {
 	number := bucketNumber(at, window)
 	if number > c.newestNumber || number <= c.newestNumber-bucketsKept {
 		return nil
 	}
+	if number < c.newestNumber {
+		c.windowsValid = false // the caller changes the bucket
+	}
 	return &c.totals[number%bucketsKept]
 }
 
 // advance starts new buckets up to now.
 func (c *counter) advance(now time.Time, window time.Duration) {
 	number := bucketNumber(now, window)
+	if c.newestNumber >= number {
+		return
+	}
 	for c.newestNumber < number {
 		c.newestNumber = max(c.newestNumber+1, number-bucketsKept)
 		*c.newest() = totals{}
 		*c.newestByLevel() = byLevel{}
 	}
+	c.windowsValid = false
+	c.sums = levelSums{}
+	for i := range c.recent {
+		for l := range levels {
+			c.sums.granted[l] += float64(c.recent[i].granted[l])
+			c.sums.wanted[l] += float64(c.recent[i].wanted[l])
+		}
+	}
+}
+
+// want records that a retry of the level was requested.
+func (c *counter) want(level int, cost float64) {
+	c.newestByLevel().wanted[level] += float32(cost)
+	c.sums.wanted[level] += float64(float32(cost))
+}
+
+// grant records that a retry of the level was granted.
+func (c *counter) grant(level int, cost float64) {
+	c.newest().granted += cost
+	c.newestByLevel().granted[level] += float32(cost)
+	c.sums.granted[level] += float64(float32(cost))
 }
 
 func (c *counter) newest() *totals { return &c.totals[c.newestNumber%bucketsKept] }
@@ -67,44 +116,66 @@
 // it, in the one before it or in the one half a window before it, whichever has most. The
 // requests still to come count for nothing.
 func (c *counter) headroom(ratio, slack float64) (remaining, whole float64) {
-	var requests, granted [bucketsKept + 1]float64 // sums of the buckets before, oldest first
-	for i := range bucketsKept {
-		t := &c.totals[(c.newestNumber+1+int64(i))%bucketsKept]
-		requests[i+1] = requests[i] + t.requests
-		granted[i+1] = granted[i] + t.granted
+	if !c.windowsValid {
+		c.sumWindows()
 	}
-	for from := bucketsPerWindow; from < bucketsKept; from++ {
-		const half = bucketsPerWindow / 2
-		before := requests[from] - requests[from-bucketsPerWindow]
-		until := min(from+half, bucketsKept)
-		sent := before
-		for _, other := range [...]float64{requests[bucketsKept] - requests[from], requests[until] - requests[from-half]} {
-			sent = max(sent, before+growthShare*(other-before))
+	newest := *c.newest()
+	remaining = math.Inf(1)
+	for i := range c.windows {
+		w := &c.windows[i]
+		more := w.after + newest.requests - w.before
+		between := w.between - w.before
+		if i >= bucketsPerWindow/2 {
+			between += newest.requests // that window ends with the newest bucket
+		}
+		if between > more {
+			more = between
+		}
+		sent := w.before
+		if more > 0 {
+			sent += growthShare * more
 		}
 		allowed := ratio*sent + slack
-		left := allowed - (granted[bucketsKept] - granted[from])
-		if from >= bucketsKept-spendBuckets {
-			whole = max(whole, allowed)
+		if i >= bucketsPerWindow-spendBuckets && allowed > whole {
+			whole = allowed
 		}
-		if from == bucketsPerWindow || left < remaining {
+		if left := allowed - w.granted - newest.granted; left < remaining {
 			remaining = left
 		}
 	}
 	return remaining, whole
 }
 
+// sumWindows computes the sums of all windows.
+func (c *counter) sumWindows() {
+	const half, closed = bucketsPerWindow / 2, bucketsKept - 1
+	var requests, granted [bucketsKept]float64 // sums of the buckets before, oldest first
+	for i := range closed {
+		t := &c.totals[(c.newestNumber+1+int64(i))%bucketsKept]
+		requests[i+1] = requests[i] + t.requests
+		granted[i+1] = granted[i] + t.granted
+	}
+	for i := range c.windows {
+		from := bucketsPerWindow + i
+		c.windows[i] = windowSums{
+			before:  requests[from] - requests[from-bucketsPerWindow],
+			after:   requests[closed] - requests[from],
+			between: requests[min(from+half, closed)] - requests[from-half],
+			granted: granted[closed] - granted[from],
+		}
+	}
+	c.windowsValid = true
+}
+
 // reserved returns the recent retries that the level may not use: what more important levels
 // requested, and what this and less important levels were granted.
 func (c *counter) reserved(level int) float64 {
 	sum := 0.0
-	for i := range c.recent {
-		b := &c.recent[i]
-		for l := range level {
-			sum += float64(b.wanted[l])
-		}
-		for l := level; l < levels; l++ {
-			sum += float64(b.granted[l])
-		}
+	for _, wanted := range c.sums.wanted[:level] {
+		sum += wanted
+	}
+	for _, granted := range c.sums.granted[level:] {
+		sum += granted
 	}
 	return sum
 }
