quota: an account that is listed again finds its former bucket

Cause: a home dropped the bucket of an account whose limit left the configuration, and gave the account a full one when the limit came back: two bursts in one window. Change: the bucket stays until it is full, as for any account.

--- a/quota/home.go
+++ b/quota/home.go
@@ -125,17 +125,15 @@
 	}
 }
 
-// configure brings changed limits into force.
+// configure brings changed limits into force. The bucket of an account that has no limit any more is
+// kept until it is full: the account may get one again, and must not find a full bucket then.
 func (h *home) configure(now time.Duration, limits map[string]limitSince) {
 	h.advance(now)
 	for account, b := range h.buckets {
-		l, ok := limits[account]
-		if !ok {
-			delete(h.buckets, account)
-			continue
-		}
 		b.advance(now, h.bounds)
-		b.limit = l.Limit
-		b.clip(h.bounds)
+		if l, ok := limits[account]; ok {
+			b.limit = l.Limit
+			b.clip(h.bounds)
+		}
 	}
 }
