quota: requests that wait are decided again when the limit changes

Cause: a change of an account's limit drops its asks, and the answers that come for them name no entry, so requests that waited were not decided before their time was over, and then refused with 503. Change: Configure returns such accounts, and their requests are decided by the new limit. Result: TestRequestsWaitForTokensOfAChangedLimit failed before and passes.

--- a/node/quota.go
+++ b/node/quota.go
@@ -131,7 +131,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.mu.table.Configure(q.clock(), uint64(c.Version), accounts)
+	q.wake(q.mu.table.Configure(q.clock(), uint64(c.Version), accounts))
 	if !q.mu.enabled && q.mu.table.HasQuotas() {
 		q.mu.enabled = true
 		close(q.enabled)
@@ -146,12 +146,7 @@
 func (q *quotas) receive(m *quota.Message, reply func(*quota.Message)) {
 	q.mu.Lock()
 	out, wake := q.mu.table.Receive(q.clock(), m)
-	for _, account := range wake {
-		if waiting := q.mu.waiting[account]; waiting != nil {
-			close(waiting)
-			delete(q.mu.waiting, account)
-		}
-	}
+	q.wake(wake)
 	q.mu.Unlock()
 	for i, o := range out {
 		if o.To == m.From {
@@ -162,6 +157,16 @@
 	}
 }
 
+// wake lets the waiting requests of the accounts be decided again. The lock is held.
+func (q *quotas) wake(accounts []string) {
+	for _, account := range accounts {
+		if waiting := q.mu.waiting[account]; waiting != nil {
+			close(waiting)
+			delete(q.mu.waiting, account)
+		}
+	}
+}
+
 // send sends messages. It is called without the lock.
 func (q *quotas) send(out []quota.Outgoing) {
 	for _, o := range out {
--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -290,3 +290,31 @@
 		t.Error("a retry of a request that has run took a second token")
 	}
 }
+
+// TestRequestsWaitForTokensOfAChangedLimit guards against requests that wait in vain, and are then
+// refused, as the answer to their ask is no longer awaited after a change of the limit.
+func TestRequestsWaitForTokensOfAChangedLimit(t *testing.T) {
+	t.Parallel()
+	peers := quotaFleet(t, 2, quota.Limit{Rate: 200, Burst: 100})
+	for _, p := range peers {
+		q := p.quotas
+		waiting := make(chan struct{})
+		q.mu.Lock()
+		decision, _ := q.mu.table.Take(q.clock(), "a", false) // the ask gets lost
+		if decision.Verdict == quota.Wait {
+			q.mu.waiting["a"] = waiting
+		}
+		q.mu.Unlock()
+		if decision.Verdict != quota.Wait {
+			continue // the home itself
+		}
+		q.configure(&route.Configuration{Version: 2, Accounts: []route.Account{{Name: "a", Rate: 300, Burst: 100}}})
+		select {
+		case <-waiting:
+			return
+		default:
+			t.Fatal("the request is not decided again")
+		}
+	}
+	t.Fatal("no request waited")
+}
--- a/quota/table.go
+++ b/quota/table.go
@@ -91,10 +91,11 @@
 func (t *Table) HasQuotas() bool { return len(t.limits) > 0 }
 
 // Configure brings the limits of a configuration into force. Tokens that were granted by other
-// limits are dropped.
-func (t *Table) Configure(now time.Duration, version uint64, accounts []Account) {
+// limits are dropped, and so are asks. It returns the accounts whose waiting requests are to be
+// decided again.
+func (t *Table) Configure(now time.Duration, version uint64, accounts []Account) (wake []string) {
 	if version < t.version {
-		return // overtaken by a newer one
+		return nil // overtaken by a newer one
 	}
 	limits := make(map[string]limitSince, len(accounts))
 	for _, a := range accounts {
@@ -105,18 +106,21 @@
 		if !ok || current.Limit != a.Limit {
 			current = limitSince{a.Limit, version}
 			delete(t.entries, a.Name)
+			wake = append(wake, a.Name)
 		}
 		limits[a.Name] = current
 	}
 	for name := range t.entries {
 		if _, ok := limits[name]; !ok {
 			delete(t.entries, name)
+			wake = append(wake, name)
 		}
 	}
 	t.version, t.limits = version, limits
 	for _, h := range t.homes {
 		h.configure(now, limits)
 	}
+	return wake
 }
 
 // SetRoster replaces the instances that the node knows and that don't leave, sorted by name.
