node: a request with a key is never taken for a call of the local target

Cause: on a public route that targets call, requests of client accounts counted as calls too, so admission and fair shares didn't decide on them, and calls were credited to runs that hadn't made them. Change: only requests without a key are classified; targets have no keys. Result: TestKeyedRequestIsNoCall failed for known and unproven keys, and passes.

--- a/node/account.go
+++ b/node/account.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/node/ingress"
 )
 
@@ -45,6 +46,15 @@
 	return nil
 }
 
+// classify decides whether a request is a call of the local target, and of which importance. One
+// with a key is not: targets have no keys. The tables' lock is held.
+func (t *tables) classify(r *request) (isCall bool, importance callgraph.Importance, inherits bool) {
+	if r.Key != "" {
+		return false, callgraph.Importance{}, false
+	}
+	return t.mu.graph.ClassifyRequest(r.origin, r.route.Name, r.ArrivedAt.Add(r.RemainingTime))
+}
+
 func unauthorized() *ingress.Response {
 	return &ingress.Response{Status: http.StatusUnauthorized, FromNode: true}
 }
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -172,7 +172,7 @@
 	r.service = t.mu.splitter.Next(r.route)
 	t.mu.retryBudget.RecordRequest(now, r.service)
 	r.origin = t.mu.routeOrigins[r.route.Name]
-	if isCall, importance, inherits := t.mu.graph.ClassifyRequest(r.origin, r.route.Name, r.ArrivedAt.Add(r.RemainingTime)); isCall {
+	if isCall, importance, inherits := t.classify(r); isCall {
 		if inherits {
 			r.priority, r.rank, r.Awaited = importance.Priority, importance.Rank, importance.Awaited
 			r.repeated, r.rootAccount = importance.Repeated, importance.Account
