limiter: requests that leave the queue are not charged to their account

Cause: a request that left the queue unserved still moved the turns of its account back, so an account whose callers gave up was served after all others while the queue wasn't empty. Change: later requests of the account take the turn of one that left. Removal costs a pass over the queue, as arrival does.

--- a/limiter/fair.go
+++ b/limiter/fair.go
@@ -1,5 +1,11 @@
 package limiter
 
+import (
+	"container/heap"
+
+	"github.com/gypsumford/gypsumford/loadshed"
+)
+
 // minWeight is the weight of accounts that have none.
 const minWeight = 1.0
 
@@ -32,6 +38,25 @@
 	f.left()
 }
 
+// removed records that a request has left the queue without having run. Later ones of its account
+// take its turn: otherwise an account whose callers give up would be served after all others.
+func (f *fairOrder) removed(item *Item, waiting queue) {
+	turn := 1 / max(item.Weight, minWeight)
+	isChanged := false
+	for _, other := range waiting {
+		if other.Account == item.Account && other.sequence > item.sequence &&
+			loadshed.ClampPriority(other.Priority) == loadshed.ClampPriority(item.Priority) {
+			other.tag -= turn
+			isChanged = true
+		}
+	}
+	if isChanged {
+		heap.Init(&waiting)
+	}
+	f.previous[item.Account] -= turn
+	f.left()
+}
+
 // left records that a request has left the queue. With the last one all debts end, so no more
 // accounts are kept than have sent requests since the queue was empty.
 func (f *fairOrder) left() {
--- a/limiter/fair_test.go
+++ b/limiter/fair_test.go
@@ -79,3 +79,39 @@
 		}
 	})
 }
+
+// Guards against an account that is served last although nothing of it has run: requests that left
+// the queue, as their callers did or their time ended, must not count against later ones.
+func TestRequestsThatLeaveTheQueueAreNotCharged(t *testing.T) {
+	Convey("An account whose earlier requests have left is served beside others", t, func() {
+		now := time.Unix(1000, 0)
+		l := New(2)
+		running := &Item{Deadline: now.Add(time.Hour)}
+		l.Arrive(now, running)
+		arrive := func(account string) *Item {
+			item := &Item{Priority: 1, Deadline: now.Add(time.Hour), Account: account, Weight: 10}
+			So(l.Arrive(now, item), ShouldEqual, Wait)
+			return item
+		}
+		for range 20 {
+			arrive("b")
+		}
+		var left []*Item
+		for range 50 {
+			left = append(left, arrive("a"))
+		}
+		for _, item := range left {
+			So(l.Remove(item), ShouldBeTrue)
+		}
+		first := arrive("a")
+		gone := arrive("a")
+		last, before := arrive("a"), 0
+		So(l.Remove(gone), ShouldBeTrue)
+		So(first.tag, ShouldBeLessThan, last.tag)
+		for running = nil; running != last; before++ {
+			l.Done(&Item{}, time.Millisecond)
+			running = l.Next(now)
+		}
+		So(before, ShouldBeLessThanOrEqualTo, 5)
+	})
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -170,7 +170,7 @@
 		return false
 	}
 	heap.Remove(&l.waiting, item.index)
-	l.order[loadshed.ClampPriority(item.Priority)].left()
+	l.order[loadshed.ClampPriority(item.Priority)].removed(item, l.waiting)
 	l.inFlight[loadshed.ClampPriority(item.Priority)]--
 	return true
 }
