quota: a home that stops asks another one for its late callers

Cause: a node that stops accepts requests of callers for 0.8 s after it has given up its parts, but went on to ask itself, so accounts whose home it was got 503 there. Change: a stopping table still chooses reachable homes, never itself, and delegates nothing.

--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -318,3 +318,24 @@
 	}
 	t.Fatal("no request waited")
 }
+
+// TestStoppingHomeAsksAnother guards against a node that stops, still accepts requests of callers,
+// and refuses those of the accounts whose home it was.
+func TestStoppingHomeAsksAnother(t *testing.T) {
+	t.Parallel()
+	peers := quotaFleet(t, 3, quota.Limit{Rate: 200, Burst: 100})
+	home := peers[0].home()
+	for _, p := range peers {
+		if p.name != home {
+			continue
+		}
+		p.quotas.stop()
+		verdict := quota.Unavailable
+		for deadline := time.Now().Add(10 * time.Second); verdict != quota.Granted && time.Now().Before(deadline); {
+			verdict = p.quotas.take(t.Context(), "a").Verdict
+		}
+		if verdict != quota.Granted {
+			t.Errorf("%s, which stops, gets no tokens: %v", p.name, verdict)
+		}
+	}
+}
--- a/quota/part.go
+++ b/quota/part.go
@@ -128,6 +128,9 @@
 )
 
 func (t *Table) statusOf(now time.Duration, name string) status {
+	if name == t.instance && t.isStopping {
+		return unreachable // it is no home any more
+	}
 	if t.isReachable(name) {
 		return reachable
 	}
--- a/quota/table.go
+++ b/quota/table.go
@@ -164,7 +164,7 @@
 // Tick does what is due by time, and returns messages to be sent. It is called every
 // TickInterval.
 func (t *Table) Tick(now time.Duration) []Outgoing {
-	if !t.HasQuotas() || t.isStopping {
+	if !t.HasQuotas() {
 		return nil
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
@@ -181,7 +181,12 @@
 		h.advance(now)
 	}
 	for g := range t.parts {
-		t.place(now, g, t.choose(now, g, func(name string) { probes[name] = true }))
+		choice := t.choose(now, g, func(name string) { probes[name] = true })
+		if !t.isStopping {
+			t.place(now, g, choice)
+		} else if choice != "" {
+			t.parts[g].choice = choice // for requests that still arrive
+		}
 	}
 	if now-t.prunedAt >= pruneInterval {
 		t.prune(now)
@@ -282,7 +287,7 @@
 }
 
 // Stop returns messages to the nodes whose parts this one holds: it uses them no more. The
-// node's own parts end with their terms.
+// node's own parts end with their terms. Requests that still arrive are asked for at other homes.
 func (t *Table) Stop(now time.Duration) []Outgoing {
 	t.isStopping = true
 	holders := map[string]bool{}
