balance: requests also leave for a lower score where their domain has one or two targets

Cause: with one target a domain, the share reacts to a mean over a second, the score to each response. Change: with fewer than three own targets a request also leaves for a target elsewhere whose score is lower, the crossing included, as without spillover.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -56,12 +56,9 @@
 // the request goes to. It returns nil if there is none.
 func (t *Table) chooseDomain(now time.Time, r Request) (*candidate, spillover.Decision) {
 	own, crossing := t.draw(t.domain, true), t.crossing(r)
-	byScore := t.spillover == nil || r.Awaited || r.Restricted
-	if byScore {
-		other := t.draw(t.domain, false)
-		if own != nil && other != nil && other.score*(1+crossing) < t.lowestScore(t.domain) {
-			return other, spillover.Decision{Domain: other.record.Domain, Reason: spillover.LowerScore}
-		}
+	other := t.draw(t.domain, false)
+	if own != nil && other != nil && t.leavesByScore(r) && other.score*(1+crossing) < t.lowestScore(t.domain) {
+		return other, spillover.Decision{Domain: other.record.Domain, Reason: spillover.LowerScore}
 	}
 	var decision spillover.Decision
 	if t.spillover != nil && !r.Restricted {
@@ -69,20 +66,38 @@
 		decision = t.spillover.Decide(now, r.Service, crossing, t.random.Float64(), &t.views[0], t.views[1:])
 	}
 	if decision.Domain != "" {
-		if other := t.draw(decision.Domain, true); other != nil {
-			return other, decision
+		if drawn := t.draw(decision.Domain, true); drawn != nil {
+			return drawn, decision
 		}
 	}
 	if own != nil {
 		return own, spillover.Decision{Share: decision.Share}
 	}
-	other := t.draw(t.domain, false)
 	if other == nil {
 		return nil, decision
 	}
 	return other, spillover.Decision{Domain: other.record.Domain, Reason: spillover.OwnTried, Share: decision.Share}
 }
 
+// minSharedTargets is the number of own targets from which the share of the requests that leaves
+// decides alone. Of fewer, one that turns slow shows in its score long before the share has grown.
+const minSharedTargets = 3
+
+// leavesByScore reports whether the request leaves the failure domain for any target elsewhere
+// whose score is lower, the crossing included.
+func (t *Table) leavesByScore(r Request) bool {
+	if t.spillover == nil || r.Awaited || r.Restricted {
+		return true
+	}
+	own := 0
+	for i := range t.scored {
+		if t.scored[i].record.Domain == t.domain {
+			own++
+		}
+	}
+	return own < minSharedTargets
+}
+
 // crossing returns the cost of sending a request to another failure domain, as a multiple of
 // the route's mean latency.
 func (t *Table) crossing(r Request) float64 {
--- a/balance/explain.go
+++ b/balance/explain.go
@@ -32,7 +32,7 @@
 // Explain tells how a target would be chosen now, and changes nothing.
 func (t *Table) Explain(now time.Time, r Request, candidates []*roster.Record) Explanation {
 	// A table of its own holds the results of the assessment; the states are only read.
-	view := &Table{domain: t.domain, routes: t.routes}
+	view := &Table{domain: t.domain, routes: t.routes, spillover: t.spillover}
 	for _, record := range candidates {
 		state := t.targets[record.Target.ID]
 		if state == nil {
@@ -67,7 +67,7 @@
 func (t *Table) domainChances(now time.Time, r Request, crossing float64, s *spillover.Table, e *Explanation) []float64 {
 	chances, left := make([]float64, len(t.scored)), 1.0
 	hasOwn := t.lowestScore(t.domain) < unreachableScore
-	if hasOwn && (s == nil || r.Awaited) {
+	if hasOwn && t.leavesByScore(r) {
 		lowest := t.lowestScore(t.domain)
 		for i, p := range t.drawChances(t.domain, false) {
 			if t.scored[i].score*(1+crossing) < lowest {
