--- a/membudget/account.go
+++ b/membudget/account.go
@@ -49,9 +49,11 @@
 	evictable bool
 	evicted   bool
 	closed    bool
-	waiting   bool      // for others than the client that it belongs to
-	held      int64     // bytes
-	mark      time.Time // when progress was made, earlier if it was slow
+	waiting   bool  // for others than the client that it belongs to
+	held      int64 // bytes
+	// mark is when progress was made last; the time without progress counts from it. Progress below
+	// MinRate moves it on by a part of the time that has passed.
+	mark time.Time
 }
 
 // Held returns the bytes held.
--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -317,9 +317,8 @@
 	return errors.As(err, &opErr) && !opErr.Timeout()
 }
 
-// enqueue adds a request to the queue and starts it if it may start now. It reports
-// whether more requests are to be read.
-// bytes are what was taken for the request from the account.
+// enqueue adds a request, for which that many bytes were taken from the account, to the queue and
+// starts it if it may start now. It reports whether more requests are to be read.
 func (c *conn) enqueue(x *exchange, bytes int) (more bool) {
 	idempotent := c.server.handler.IsIdempotent(x.request)
 	c.mu.Lock()
--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -45,7 +45,7 @@
 // Budget is the memory account of the process. It is safe for concurrent use.
 type Budget struct {
 	now     func() time.Time
-	refused atomic.Int64 // bytes that were asked for and not granted, as a count of refusals
+	refused atomic.Int64 // how often bytes were asked for and not granted
 	mu      struct {
 		sync.Mutex
 		account *membudget.Account[func(Eviction)]
