freshness: the first configuration of a process is not a recent one

Cause: a process that had just started, without a proof, took its first configuration for recent whatever its age, and answered 401 for keys that newer configurations may have added. Change: only a configuration that replaced another one counts as recent; before, the response is 503 with Retry-After.

--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -55,11 +55,11 @@
 	bound   time.Duration
 	random  *rand.Rand
 	inForce route.Version
-	// inForceSince is when that version came into force.
-	inForceSince time.Duration
-	current      *Proof // the latest that holds for the configuration in force
-	pending      *Proof // the latest of a newer configuration
-	offer        bool   // the proof has become much younger
+	// replacedAt is when that version replaced an earlier one, 0 if it is the process's first.
+	replacedAt time.Duration
+	current    *Proof // the latest that holds for the configuration in force
+	pending    *Proof // the latest of a newer configuration
+	offer      bool   // the proof has become much younger
 
 	epoch       epoch.ID
 	epochSeenAt time.Duration
@@ -92,7 +92,10 @@
 	if v <= t.inForce {
 		return
 	}
-	t.inForce, t.inForceSince = v, now
+	if t.inForce > 0 {
+		t.replacedAt = now
+	}
+	t.inForce = v
 	if p := t.pending; p != nil && p.Version <= t.inForce {
 		t.pending = nil
 		t.Observe(*p)
@@ -183,10 +186,10 @@
 	return t.current != nil && t.current.Version <= v && now-t.current.At < t.Limit()
 }
 
-// IsRecent reports whether the configuration in force came into force so recently that a proof of
-// then would still be used.
+// IsRecent reports whether the configuration in force replaced another one so recently that a proof
+// of then would still be used. The first one of a process may be of any age.
 func (t *Tracker) IsRecent(now time.Duration) bool {
-	return t.inForce > 0 && now-t.inForceSince < t.Limit()
+	return t.replacedAt > 0 && now-t.replacedAt < t.Limit()
 }
 
 // Age returns the age of the proof for the configuration in force. It returns false without a
