link: TestQuotaMessages doesn't end before its message is sent

The message was sent by a goroutine that connects; a call beside it could be first, and the pools closed. Change: a call connects first, so the message is queued before the next call. Measured: 200 runs pass.

--- a/node/link/quota_bench_test.go
+++ b/node/link/quota_bench_test.go
@@ -63,7 +63,13 @@
 		}
 		pool, entryPool := NewPool(node, time.Now), NewPool(entry, time.Now)
 		go func() { _ = pool.Serve(listener) }()
-		entryPool.SendQuota(listener.Addr().String(), &quota.Message{From: "entry", Renewal: &quota.Renewal{}}, func() { t.Error("not sent") })
+		if i == 1 { // a call connects, so that the message is sent before the next call
+			if _, err := entryPool.Do(t.Context(), listener.Addr().String(), &Call{RequestID: "first"}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		failed := make(chan struct{}, 1)
+		entryPool.SendQuota(listener.Addr().String(), &quota.Message{From: "entry", Renewal: &quota.Renewal{}}, func() { failed <- struct{}{} })
 		if i == 0 {
 			select {
 			case <-entry.done:
@@ -73,6 +79,11 @@
 		} else if reply, err := entryPool.Do(t.Context(), listener.Addr().String(), &Call{RequestID: "r"}); err != nil || string(reply.Body) != "r" {
 			t.Errorf("a call after a message that the peer ignores: %v", err)
 		}
+		select {
+		case <-failed:
+			t.Error("not sent")
+		default:
+		}
 		_ = listener.Close()
 		entryPool.Close()
 		pool.Close()
