node: callers over a quota come back spread over the objective

Cause: a 429 stated when the bucket's next token was due, 30 to 50 ms, to every refused caller; at 3 to 8 times the quota most came back in vain. Change: it states at least the random delay of other refusals.

--- a/node/quota.go
+++ b/node/quota.go
@@ -277,7 +277,9 @@
 	case ctx.Err() != nil:
 		return d.giveUp(ctx, r, "ended")
 	case decision.Verdict == quota.Exceeded && !decision.IsPartial:
-		response := refusal(max(decision.RetryAfter, minQuotaRetry))
+		// The bucket states when its next token is due. Many callers are refused for each token, so
+		// they come back spread over a longer time.
+		response := refusal(max(decision.RetryAfter, minQuotaRetry, d.retryAfter(r, d.now())))
 		response.Status = http.StatusTooManyRequests
 		return d.end(r, response, "over-quota")
 	}
