--- /dev/null
+++ b/review/second/mixed.go
@@ -0,0 +1,110 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	spoiledShare  = 0.05 // of the answers of the garbling backend, as in the site's days
+	mixedRequests = 1500
+	mixedWorkers  = 8
+)
+
+func init() { cases["mixed"] = runMixed }
+
+// runMixed sends lookups. With the disruption one of the four backends spoils a byte in the head of a
+// few of its answers.
+func runMixed(b *bed, trouble bool) (int, error) {
+	b.configure(1, route("page", "/page/", "safe", "back", 5))
+	for _, name := range []string{"front-1", "back-1", "back-2", "back-3", "back-4"} {
+		service, number, _ := strings.Cut(name, "-")
+		m, err := b.add(name, service)
+		if err != nil {
+			return couldntBe, err
+		}
+		t := newRawTarget(b, "i-"+name, service)
+		garbles := trouble && number == "1" && service == "back"
+		random := rand.New(rand.NewPCG(1, 2))
+		var lock sync.Mutex
+		t.respond = func(r *http.Request, _ []byte) ([]byte, bool) {
+			id := r.Header.Get("Gypsumford-Request-Id")
+			field := "Transfer-Id: " + id
+			lock.Lock()
+			spoiled := garbles && random.Float64() < spoiledShare
+			lock.Unlock()
+			if spoiled {
+				field = strings.Replace(field, "-", " ", 1)
+				b.note("back-%s spoils a byte of its answer to %s: %q", number, id, field)
+			}
+			time.Sleep(5 * time.Millisecond)
+			return answer(id, http.StatusOK, "a page for "+id, field), true
+		}
+		m.target = t
+		if err := m.start(); err != nil {
+			return couldntBe, err
+		}
+	}
+	if err := b.awaitReady(); err != nil {
+		return couldntBe, err
+	}
+	entry := b.machines[0].outbound
+	var next, served, malformed atomic.Int64
+	var workers sync.WaitGroup
+	for range mixedWorkers {
+		workers.Go(func() {
+			for {
+				n := next.Add(1)
+				if n > mixedRequests {
+					return
+				}
+				id := "page" + strconv.FormatInt(n, 10)
+				got := call(entry, "GET", "/page/"+strconv.FormatInt(n, 10), id, "", 5*time.Second)
+				if got.status == http.StatusOK {
+					served.Add(1)
+				}
+				if why := malformedHead(got.head); why != "" {
+					malformed.Add(1)
+					b.note("%s: the caller got bytes that are no answer in the protocol, %s: %q", id, why, got.head)
+				}
+			}
+		})
+	}
+	workers.Wait()
+	b.note("requests %d, served %d, answers that are none in the protocol %d", mixedRequests, served.Load(), malformed.Load())
+	if served.Load() < mixedRequests/2 {
+		return couldntBe, fmt.Errorf("only %d requests were served", served.Load())
+	}
+	if malformed.Load() > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// malformedHead returns why the lines are no head of an HTTP/1.1 answer, "" if they are one.
+func malformedHead(lines []string) string {
+	for i, line := range lines {
+		if i == 0 {
+			continue
+		}
+		name, _, found := strings.Cut(line, ":")
+		if !found || name == "" {
+			return fmt.Sprintf("the line %q has no field name", line)
+		}
+		for _, c := range []byte(name) {
+			alphanumeric := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+			if !alphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+				return fmt.Sprintf("the field name %q has the byte %q", name, c)
+			}
+		}
+	}
+	return ""
+}
