--- a/review/second/mixed.go
+++ b/review/second/mixed.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -15,6 +16,7 @@
 
 const (
 	spoiledShare  = 0.05 // of the answers of the garbling backend, as in the site's days
+	closingShare  = 0.2  // of all answers: in chunks, and the connection is closed behind them
 	mixedRequests = 4000
 	mixedWorkers  = 8
 	mixedEntries  = 4
@@ -44,13 +46,22 @@
 			field := "Transfer-Id: " + id
 			lock.Lock()
 			spoiled := garbles && random.Float64() < spoiledShare
+			closes := random.Float64() < closingShare
 			lock.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			if closes {
+				whole := chunkedAnswer(id, pageOf(id), field)
+				if spoiled {
+					whole = bytes.Replace(whole, []byte("HTTP/1.1"), []byte("HTTP/1.0"), 1)
+					b.note("back-%s spoils a byte of its answer in chunks to %s: %.15q", number, id, whole)
+				}
+				return whole, false
+			}
 			if spoiled {
 				field = strings.Replace(field, "-", " ", 1)
 				b.note("back-%s spoils a byte of its answer to %s: %q", number, id, field)
 			}
-			time.Sleep(5 * time.Millisecond)
-			return answer(id, http.StatusOK, "a page for "+id, field), true
+			return answer(id, http.StatusOK, pageOf(id), field), true
 		}
 		m.target = t
 		if err := m.start(); err != nil {
@@ -60,7 +71,7 @@
 	if err := b.awaitReady(); err != nil {
 		return couldntBe, err
 	}
-	var next, served, malformed atomic.Int64
+	var next, served, malformed, wrong atomic.Int64
 	var workers sync.WaitGroup
 	for i := range mixedWorkers {
 		entry := b.machines[i%mixedEntries].outbound
@@ -75,6 +86,10 @@
 				got := call(entry, "GET", "/page/"+strconv.FormatInt(n, 10), id, "", 5*time.Second)
 				if got.status == http.StatusOK {
 					served.Add(1)
+					if got.body != pageOf(id) {
+						wrong.Add(1)
+						b.note("%s: the caller got a success with another body: %q in place of %q, %q", id, got.body, pageOf(id), got.head)
+					}
 				}
 				if why := malformedHead(got.head); why != "" {
 					malformed.Add(1)
@@ -87,16 +102,28 @@
 	for _, m := range b.machines {
 		b.note("%s ran %d requests", m.name, m.target.(*rawTarget).total())
 	}
-	b.note("requests %d, served %d, answers that are none in the protocol %d", mixedRequests, served.Load(), malformed.Load())
+	b.note("requests %d, served %d, successes with another body %d, answers that are none in the protocol %d",
+		mixedRequests, served.Load(), wrong.Load(), malformed.Load())
 	if served.Load() < mixedRequests/2 {
 		return couldntBe, fmt.Errorf("only %d requests were served", served.Load())
 	}
-	if malformed.Load() > 0 {
+	if malformed.Load()+wrong.Load() > 0 {
 		return broken, nil
 	}
 	return held, nil
 }
 
+// pageOf returns the body of the answer to a request.
+func pageOf(id string) string { return "a page for " + id }
+
+// chunkedAnswer returns a whole answer in two chunks, behind which the target closes the connection.
+func chunkedAnswer(id, body, field string) []byte {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed.%s\r\n%s\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n",
+		name("id"), id, name("signature"), id, field)
+	const first = 5
+	return fmt.Appendf([]byte(head), "%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", first, body[:first], len(body)-first, body[first:])
+}
+
 // malformedHead returns why the lines are no head of an HTTP/1.1 answer, "" if they are one.
 func malformedHead(lines []string) string {
 	for i, line := range lines {
