--- a/review/second/mixed.go
+++ b/review/second/mixed.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	spoiledShare  = 0.05 // of the answers of the garbling backend, as in the site's days
+	spoiledShare  = 0.05 // of the answers of a garbling backend, as in the site's days
 	closingShare  = 0.2  // of all answers: in chunks, and the connection is closed behind them
 	mixedRequests = 4000
 	mixedWorkers  = 8
@@ -25,8 +25,8 @@
 
 func init() { cases["mixed"] = runMixed }
 
-// runMixed sends lookups. With the disruption one of the four backends spoils a byte in the head of a
-// few of its answers.
+// runMixed sends lookups. With the disruption two of the four backends spoil a byte in the head of a
+// few of their answers.
 func runMixed(b *bed, trouble bool) (int, error) {
 	if err := b.configure(1, route("page", "/page/", "safe", "back", 5)); err != nil {
 		return couldntBe, err
@@ -38,7 +38,7 @@
 			return couldntBe, err
 		}
 		t := newRawTarget(b, "i-"+machineName, service)
-		garbles := trouble && number == "1" && service == "back"
+		garbles := trouble && service == "back" && (number == "1" || number == "2")
 		random := rand.New(rand.NewPCG(1, 2))
 		var lock sync.Mutex
 		t.respond = func(r *http.Request, _ []byte) ([]byte, bool) {
--- a/review/second/raw.go
+++ b/review/second/raw.go
@@ -19,6 +19,7 @@
 	bed         *bed
 	id, service string
 	born        int64
+	slots       int
 	// respond returns the whole answer to a request that runs, and whether the connection is kept.
 	respond func(r *http.Request, body []byte) (answer []byte, keep bool)
 	// stream, if set, writes the answer in place of respond. The connection is closed after it.
@@ -32,7 +33,7 @@
 }
 
 func newRawTarget(b *bed, id, service string) *rawTarget {
-	return &rawTarget{bed: b, id: id, service: service, born: time.Now().UnixMilli(), runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	return &rawTarget{bed: b, id: id, service: service, slots: slots, born: time.Now().UnixMilli(), runs: map[string]int{}, conns: map[net.Conn]struct{}{}}
 }
 
 func (t *rawTarget) Start(address string) error {
@@ -124,7 +125,7 @@
 	sequence := t.sequence
 	t.mu.Unlock()
 	content, err := message("heartbeat", map[string]any{
-		"Address": t.listener.Addr().String(), "Born": t.born, "Service": t.service, "Slots": slots, "State": state, "Sequence": sequence,
+		"Address": t.listener.Addr().String(), "Born": t.born, "Service": t.service, "Slots": t.slots, "State": state, "Sequence": sequence,
 	})
 	if err != nil {
 		return err
