--- a/review/second/mixed.go
+++ b/review/second/mixed.go
@@ -15,12 +15,14 @@
 )
 
 const (
-	spoiledShare  = 0.05 // of the answers of a garbling backend, as in the site's days
-	closingShare  = 0.2  // of all answers: in chunks, and the connection is closed behind them
-	mixedRequests = 4000
+	spoiledShare  = 0.02            // of the answers of a garbling backend
+	closingShare  = 0.2             // of all answers: in chunks, and the connection is closed behind them
+	garbleWindow  = 5 * time.Second // at a time, with garblePause between
+	garblePause   = 2 * time.Second
+	mixedRequests = 8000
 	mixedWorkers  = 8
 	mixedEntries  = 4
-	mixedPause    = 20 * time.Millisecond
+	mixedPause    = 12 * time.Millisecond
 )
 
 func init() { cases["mixed"] = runMixed }
@@ -45,7 +47,7 @@
 			id := r.Header.Get(name("id"))
 			field := "Transfer-Id: " + id
 			lock.Lock()
-			spoiled := garbles && random.Float64() < spoiledShare
+			spoiled := garbles && time.Since(b.started)%(garbleWindow+garblePause) < garbleWindow && random.Float64() < spoiledShare
 			closes := random.Float64() < closingShare
 			lock.Unlock()
 			time.Sleep(5 * time.Millisecond)
--- a/review/second/refused.go
+++ b/review/second/refused.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	greyShare      = 0.45 // of the requests at the grey backend; the site's largest dose is 0.45
-	refusedOrders  = 2000
+	greyShare      = 0.45                    // of the requests at the grey backend; the site's largest dose is 0.45
+	greyWindow     = 6500 * time.Millisecond // from the first order on; the site's length
+	refusedOrders  = 1200
 	refusedWorkers = 8
 	refusedEntries = 4
 	orderPause     = 100 * time.Millisecond
@@ -31,6 +32,7 @@
 		return couldntBe, err
 	}
 	var backends []*rawTarget
+	var begin atomic.Int64 // when the first order was sent, in Unix nanoseconds; 0 before
 	for _, machineName := range []string{"front-1", "front-2", "front-3", "front-4", "back-1", "back-2", "back-3", "back-4"} {
 		service, number, _ := strings.Cut(machineName, "-")
 		m, err := b.add(machineName, service)
@@ -44,7 +46,7 @@
 		t.respond = func(r *http.Request, _ []byte) ([]byte, bool) {
 			id := r.Header.Get(name("id"))
 			lock.Lock()
-			fails := grey && random.Float64() < greyShare
+			fails := grey && time.Since(time.Unix(0, begin.Load())) < greyWindow && random.Float64() < greyShare
 			lock.Unlock()
 			time.Sleep(5 * time.Millisecond)
 			if fails {
@@ -71,6 +73,7 @@
 		return n
 	}
 	var next, served, refused, falselyRefused, twice atomic.Int64
+	begin.Store(time.Now().UnixNano())
 	var workers sync.WaitGroup
 	for i := range refusedWorkers {
 		entry := b.machines[i%refusedEntries].outbound
