egress: a head that isn't HTTP/1.1 isn't taken for a response

Callers saw answers of a target in trouble whose head held a blank or a control byte in a field name: with that line passed on, or with a body that wasn't the target's, such as the frames of its chunks under a length of the node's own.

Cause: net/http reads heads leniently. It accepts field names with blanks, bare line feeds, chunks in HTTP/1.0 (and then ignores them), any version, and several statements of one length. Change: package internal/httpwire follows the framing of the bytes that are read from a connection and withholds everything from the first invalid byte on: status line, field names, line ends, control bytes, lengths and codings, chunk sizes, trailers and interim responses. The egress reads through it. A line's last byte is withheld until the line was checked, so that the parser behind it can't complete an invalid head. The check of the final status and the bound on interim responses move there, the former for all readers. The log line 'answer broken' names the reason.

--- a/node/egress/meter.go
+++ b/node/egress/meter.go
@@ -11,8 +11,6 @@
 const (
 	// maxHeadBytes bounds the head of each response, interim ones included.
 	maxHeadBytes = 64 << 10
-	// maxInterimResponses bounds the number of interim (1xx) responses before the final one.
-	maxInterimResponses = 8
 	// maxBodyBytes bounds the body of a response, without its framing.
 	maxBodyBytes = 64 << 20
 	// framingFactor times maxBodyBytes bounds the bytes that are read from the connection
--- a/node/egress/pool.go
+++ b/node/egress/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/internal/httpwire"
 )
 
 const (
@@ -43,11 +45,12 @@
 // conn is one connection with its buffers.
 type conn struct {
 	socket  net.Conn
-	bounded *boundedReader
-	reader  *bufio.Reader // reads from bounded
-	writer  *bufio.Writer
-	expiry  time.Time // not reused from then on
-	reused  bool      // it has served another request before
+	wire    *httpwire.Conn // of the socket
+	bounded *boundedReader // reads from wire
+	reader  *bufio.Reader  // reads from bounded
+	writer  *bufio.Writer  // writes to wire
+	expiry  time.Time      // not reused from then on
+	reused  bool           // it has served another request before
 	// refused are the IDs of the requests that the target has refused on the connection.
 	refused []string
 }
@@ -121,12 +124,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to the target")
 	}
-	bounded := &boundedReader{source: socket}
+	wire := httpwire.NewConn(socket)
+	bounded := &boundedReader{source: wire}
 	return &conn{
 		socket:  socket,
+		wire:    wire,
 		bounded: bounded,
 		reader:  bufio.NewReaderSize(bounded, bufferBytes),
-		writer:  bufio.NewWriterSize(socket, bufferBytes),
+		writer:  bufio.NewWriterSize(wire, bufferBytes),
 	}, nil
 }
 
--- a/node/egress/send.go
+++ b/node/egress/send.go
@@ -105,6 +105,7 @@
 	if r.OnWrite != nil {
 		r.OnWrite()
 	}
+	c.wire.Begin(r.Method)
 	written := make(chan error, 1)
 	if len(r.Body) <= inlineBodyBytes && len(r.Rest) == 0 {
 		written <- s.write(c, r)
@@ -113,7 +114,7 @@
 	}
 	response, idleTimeout, err = s.readMatching(c, r)
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, errors.CombineErrors(c.wire.Err(), err)
 	}
 	select {
 	case writeErr := <-written:
@@ -160,8 +161,8 @@
 			return nil, 0, err
 		}
 		if response.Fields.RequestID == r.ID {
-			if c.reader.Buffered() > 0 || skipped > 0 {
-				idleTimeout = 0 // responses to other requests may follow
+			if c.reader.Buffered() > 0 || skipped > 0 || !c.wire.IsReusable() {
+				idleTimeout = 0 // responses to other requests, or other bytes, may follow
 			}
 			return response, idleTimeout, nil
 		}
@@ -187,9 +188,10 @@
 	return nil, 0, errors.Newf("response with status %d has no request ID", response.Status)
 }
 
-// readResponse reads one response to a request of the method, and skips interim ones.
+// readResponse reads one response to a request of the method, and skips interim ones, whose number
+// c.wire bounds.
 func (s *Sender) readResponse(c *conn, method string) (*Response, time.Duration, error) {
-	for range maxInterimResponses + 1 {
+	for {
 		c.bounded.remaining = maxHeadBytes
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -198,9 +200,6 @@
 		if httpstatus.IsInterim(head.StatusCode) {
 			continue
 		}
-		if !httpstatus.IsFinal(head.StatusCode) {
-			return nil, 0, errors.Newf("response has the status %03d, which HTTP/1.1 doesn't have here", head.StatusCode)
-		}
 		c.bounded.remaining = framingFactor * maxBodyBytes
 		length := head.ContentLength
 		if head.Body == http.NoBody {
@@ -214,7 +213,6 @@
 		response.Fields = s.dialect.ReadResponse(head.StatusCode, head.Header)
 		return response, allowedIdleTime(head), nil
 	}
-	return nil, 0, errors.New("too many interim responses")
 }
 
 // allowedIdleTime returns how long the connection may stay idle after the response, 0 if it must
