egress: a reset that the upload meets first makes the answer a part

Callers saw a part of an answer as a complete one: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports a reset once. If the goroutine that writes the request gets it, the one that reads the body gets an end of the connection, which ends such a body in order. Change: httpwire.Conn records the failure that a write meets, and a body that ends with the connection ends with that failure. A write that waits at that moment is ended by a deadline, so the reader knows its result. EPIPE isn't such a failure: it means that the target closed the connection before it reset it, so all of the body arrived.

--- a/internal/httpwire/checker.go
+++ b/internal/httpwire/checker.go
@@ -106,7 +106,7 @@
 
 // end returns the error of a connection that ends here: io.EOF if no response is cut off.
 func (k *checker) end() error {
-	if k.position == betweenResponses || k.position == bodyUntilClose {
+	if k.position == betweenResponses {
 		return io.EOF
 	}
 	return io.ErrUnexpectedEOF
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -5,12 +5,18 @@
 // such bytes as different responses, and a faulty server sends them. A Conn therefore follows the
 // framing of the responses (RFC 9112) and returns no byte from the first invalid one on, so that a
 // parser behind it never completes an invalid response.
+//
+// A Conn also tells the end of a body that ends with the connection from a reset. The system reports
+// a reset once. If the write of the request meets it, a read finds what looks like an orderly end.
 package httpwire
 
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,6 +24,9 @@
 // Conn is a client's connection in HTTP/1.1. One goroutine may read and another one write.
 type Conn struct {
 	net.Conn
+	writing sync.Mutex // held during a write
+	failure error      // of the connection, as a write has met it; guarded by writing
+
 	mu struct {
 		sync.Mutex
 		checker checker
@@ -58,6 +67,8 @@
 		return n, nil // the next read returns the error
 	case c.mu.err != nil:
 		return 0, c.mu.err
+	case errors.Is(err, io.EOF) && c.mu.checker.position == bodyUntilClose:
+		return n, c.endBody()
 	case errors.Is(err, io.EOF):
 		return n, c.mu.checker.end()
 	}
@@ -71,3 +82,28 @@
 	defer c.mu.Unlock()
 	return c.mu.err
 }
+
+// endBody returns io.EOF if the server has ended a body by closing the connection, or the failure
+// that a write has met.
+func (c *Conn) endBody() error {
+	// A write that has met a reset returns it. The deadline ends one that waits.
+	_ = c.Conn.SetWriteDeadline(time.Now()) // fails only on a closed socket
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.failure != nil {
+		return c.failure
+	}
+	return io.EOF
+}
+
+// Write writes bytes of a request.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	// EPIPE means that the server closed the connection before it reset it.
+	if err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.failure = err
+	}
+	return n, err
+}
