agent: invalid answers of targets and peers leave a call with an unknown outcome

What callers of the own interface saw: an answer with a blank in a field name, bare line feeds, chunks in HTTP/1.0 or two lengths as a completed call, and a part of a body as the whole one where a reset ended it during the upload.

Cause: calls, and the requests between nodes, used net/http's transport, which is lenient. Its write of a request may also meet a reset first, as at the egress. Nothing told operators why. Change: the transports are httpwire's. Link.OnBroken reports the reason, also of a body that breaks off later, and the agent logs it as 'answer broken' with the id of the request; the log is bounded like that of the node on the users' platform.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/gypsumford/gypsumford/agent/bus"
 	"github.com/gypsumford/gypsumford/agent/link"
 	"github.com/gypsumford/gypsumford/agent/metrics"
+	"github.com/gypsumford/gypsumford/call"
 	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/internal/periodic"
@@ -91,7 +92,9 @@
 	}
 	id := fleet.InstanceID(strings.ToLower(rand.Text()[:instanceIDLength]))
 	a.self = s.instance(id, a.peerSocket.Addr().String())
-	a.controlHTTP = &http.Client{Transport: link.NewTransport(), Timeout: controlTimeout}
+	control := link.NewTransport()
+	control.MaxBodyBytes = maxControlBytes
+	a.controlHTTP = &http.Client{Transport: control, Timeout: controlTimeout}
 	a.buildTables()
 	a.buildControl(socket, store)
 	a.buildCallPath()
@@ -178,6 +181,9 @@
 
 func (a *Agent) buildCallPath() {
 	calls := link.New(link.NewTransport(), a.now)
+	calls.OnBroken = func(request call.RequestID, from string, reason error) {
+		a.log.Info("answer broken", "request", request, "from", from, "error", reason.Error())
+	}
 	levels := &levelTable{levels: admission.NewLevels()}
 	attempts := newAttemptTable()
 	a.quarantines = newQuarantines(a)
--- a/agent/link/link.go
+++ b/agent/link/link.go
@@ -15,6 +15,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,7 @@
 	"github.com/gypsumford/gypsumford/callhttp"
 	"github.com/gypsumford/gypsumford/fleet"
 	"github.com/gypsumford/gypsumford/internal/httpstatus"
+	"github.com/gypsumford/gypsumford/internal/httpwire"
 )
 
 // Limits of the connections that a node holds open.
@@ -37,30 +39,37 @@
 	maxIdleConnections = 4096    // idle connections to all addresses
 )
 
-// NewTransport returns a transport for calls with the limits of this package.
-func NewTransport() *http.Transport {
+// NewTransport returns a transport for calls with the limits of this package. It accepts valid
+// responses only.
+func NewTransport() *httpwire.Transport {
 	dialer := &net.Dialer{Timeout: DialTimeout}
-	return &http.Transport{
+	return httpwire.NewTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    MaxIdlePerAddress,
 		IdleConnTimeout:        IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // Link sends calls. It is safe for concurrent use.
 type Link struct {
-	transport http.RoundTripper // to peers
-	targets   *http.Transport   // to the local target
+	transport http.RoundTripper   // to peers
+	targets   *httpwire.Transport // to the local target
 	now       func() time.Time
+	// OnBroken is called with the reason why the response to a call can't be used, or not to its
+	// end. It isn't called if the call was cancelled. from is an address.
+	OnBroken func(request call.RequestID, from string, reason error)
 }
 
 // New returns a link over the transport, which is used for peers. Calls to the local target
 // have a transport of their own.
 func New(transport http.RoundTripper, now func() time.Time) *Link {
-	return &Link{transport: transport, targets: NewTransport(), now: now}
+	return &Link{
+		transport: transport, targets: NewTransport(), now: now,
+		OnBroken: func(call.RequestID, string, error) {},
+	}
 }
 
 // DeliverPath is the prefix of the paths of calls to the node of the chosen target.
@@ -78,12 +87,13 @@
 	callhttp.WriteEnvelope(header, l.now(), &callhttp.Envelope{
 		Call: r.Call, Instance: to.ID, Lamport: lamport,
 	})
-	response, sent, err := send(ctx, l.transport, r.Method, &target, header, r.Body)
+	response, sent, err := l.send(ctx, l.transport, r, &target, header)
 	if err != nil {
 		return failedReply(sent, r.Call.Grant, to.ID)
 	}
 	if response.Header.Get(callhttp.HeaderRequestID) != string(r.Call.Request) || !httpstatus.IsFinal(response.StatusCode) {
 		_ = response.Body.Close() // the response to another request, or none
+		l.OnBroken(r.Call.Request, target.Host, errors.Newf("response with status %03d to another request", response.StatusCode))
 		return failedReply(true, r.Call.Grant, to.ID)
 	}
 	return peerReply(response, to.ID, r.Call.Grant)
@@ -102,14 +112,10 @@
 	for name, values := range fields {
 		header[name] = values
 	}
-	response, sent, err := send(ctx, l.targets, r.Method, &target, header, r.Body)
+	response, sent, err := l.send(ctx, l.targets, r, &target, header)
 	if err != nil {
 		return failedReply(sent, r.Call.Grant, "")
 	}
-	if !httpstatus.IsFinal(response.StatusCode) {
-		_ = response.Body.Close() // unread, so that the connection isn't used again
-		return failedReply(true, r.Call.Grant, "")
-	}
 	if response.Header.Get(callhttp.HeaderOutcome) == call.NotRun.String() {
 		retryAfter := callhttp.ReadRetryAfter(response.Header)
 		closeBody(response.Body)
@@ -123,26 +129,49 @@
 
 // send sends a request once over the transport. It reports whether the request may have been
 // written to a connection.
-func send(ctx context.Context, transport http.RoundTripper, method string, target *url.URL, header http.Header, body []byte) (*http.Response, bool, error) {
+func (l *Link) send(ctx context.Context, transport http.RoundTripper, r *exchange.Request, target *url.URL, header http.Header) (*http.Response, bool, error) {
 	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	broken := func(err error) {
+		if connected && ctx.Err() == nil {
+			l.OnBroken(r.Call.Request, target.Host, err)
+		}
+	}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	})
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+target.Host, nil)
+	request, err := http.NewRequestWithContext(traced, r.Method, "http://"+target.Host, nil)
 	if err != nil {
 		return nil, false, errors.Wrapf(err, "request to %s", target.Host)
 	}
+	body := r.Body
 	request.URL = target
 	request.Header = header
 	request.Body = io.NopCloser(bytes.NewReader(body)) // GetBody stays nil, see the package comment
 	request.ContentLength = int64(len(body))
 	response, err := transport.RoundTrip(request)
 	if err != nil {
+		broken(err)
 		return nil, connected, errors.Wrapf(err, "request to %s", target.Host)
 	}
+	response.Body = &reportedBody{ReadCloser: response.Body, onBroken: broken}
 	return response, true, nil
 }
 
+// reportedBody reports the error with which a body breaks off.
+type reportedBody struct {
+	io.ReadCloser
+	once     sync.Once
+	onBroken func(error)
+}
+
+func (b *reportedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.once.Do(func() { b.onBroken(err) })
+	}
+	return n, err
+}
+
 // failedReply returns the reply to a call without a response: not run if there was no
 // connection, unknown otherwise.
 func failedReply(sent bool, grant int, node fleet.InstanceID) *exchange.Reply {
--- a/agent/quarantine.go
+++ b/agent/quarantine.go
@@ -333,7 +333,7 @@
 		return nil, errors.Wrapf(err, "reports of node %s", address)
 	}
 	defer func() { _ = response.Body.Close() }() // the body is read to its end below
-	content, err = io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
+	content, err = io.ReadAll(response.Body)
 	if err != nil || response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("reports of node %s: status %d, %v", address, response.StatusCode, err)
 	}
--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/gypsumford/gypsumford/agent"
+	"github.com/gypsumford/gypsumford/node/decisionlog"
 	"github.com/gypsumford/gypsumford/platform"
 	"github.com/gypsumford/gypsumford/settings"
 )
@@ -42,7 +43,9 @@
 	if err := set.Parse(os.Args[1:]); err != nil {
 		return set.Report(err, os.Stdout, os.Stderr)
 	}
-	log := logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil))
+	logWriter := decisionlog.NewWriter(os.Stderr, logLinesPerS)
+	defer logWriter.Close()
+	log := logr.FromSlogHandler(slog.NewJSONHandler(logWriter, nil))
 	tuneCollector()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
