gypsumctl: invalid and endless answers of nodes are errors

What operators saw: an answer with a blank in a field name, bare line feeds, another version of HTTP or two lengths was shown as the state of a node. An answer without end to 'get -from-node' took all memory of the operator's machine, and one over the bound was cut in silence elsewhere, where what is left of a list in protocol buffers can look like a whole one.

Cause: the verbs read with net/http's transport, and 'get -from-node' without any bound. Change: command.NewHTTPClient, and the client of package command/node, send with httpwire's transport, which bounds bodies with an error.

--- a/command/configuration/configuration.go
+++ b/command/configuration/configuration.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"os"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gypsumford/gypsumford/command"
 	"github.com/gypsumford/gypsumford/command/changelog"
 	"github.com/gypsumford/gypsumford/epoch"
 	"github.com/gypsumford/gypsumford/inventory"
@@ -42,7 +42,7 @@
 
 // ReadNode reads the inventory in force at the node with the peer address.
 func ReadNode(ctx context.Context, address string) (Document, error) {
-	client := peer.NewPeerProtobufClient("http://"+address, http.DefaultClient)
+	client := peer.NewPeerProtobufClient("http://"+address, command.NewHTTPClient())
 	reply, err := client.PullConfig(ctx, &peer.PullConfigRequest{})
 	if err != nil {
 		return Document{}, errors.Wrapf(err, "can't read the inventory of node %s", address)
--- a/command/explain/explain.go
+++ b/command/explain/explain.go
@@ -33,9 +33,6 @@
   gypsumctl explain -metrics 10.0.0.7:7635 -host shop.example -path /orders -account a17 -o json`
 )
 
-// maxResponseBytes bounds what is read of the node's response.
-const maxResponseBytes = 64 << 20
-
 // Verb is "gypsumctl explain".
 var Verb = command.Verb{Name: "explain", Synopsis: synopsis, Run: run}
 
@@ -70,12 +67,12 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "node %s", address)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := command.NewHTTPClient().Do(request)
 	if err != nil {
 		return nil, errors.Wrapf(err, "node %s", address)
 	}
 	defer func() { _ = response.Body.Close() }() // the body is read to its end below
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return nil, errors.Wrapf(err, "response of node %s", address)
 	}
--- a/command/node/node.go
+++ b/command/node/node.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/internal/httpwire"
 	"github.com/gypsumford/gypsumford/rpc/operator"
 )
 
@@ -49,28 +49,9 @@
 
 // New returns a client.
 func New() *Client {
-	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConns: maxIdleConnections, MaxIdleConnsPerHost: 1}
-	return &Client{http: &http.Client{Transport: boundedTransport{transport}}}
-}
-
-// boundedTransport is a transport that truncates response bodies to maxReplyBytes,
-// so that a faulty node can't exhaust memory.
-type boundedTransport struct{ next http.RoundTripper }
-
-// RoundTrip sends the request and bounds the body of the response.
-func (b boundedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := b.next.RoundTrip(request)
-	if err != nil {
-		return nil, err
-	}
-	response.Body = boundedBody{io.LimitReader(response.Body, maxReplyBytes), response.Body}
-	return response, nil
-}
-
-// boundedBody reads the bounded part of a body and closes the whole body.
-type boundedBody struct {
-	io.Reader
-	io.Closer
+	transport := httpwire.NewTransport(&http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConns: maxIdleConnections, MaxIdleConnsPerHost: 1})
+	transport.MaxBodyBytes = maxReplyBytes
+	return &Client{http: &http.Client{Transport: transport}}
 }
 
 // At returns a client for the operator service of the node with the peer address.
--- a/command/quarantine/quarantine.go
+++ b/command/quarantine/quarantine.go
@@ -33,9 +33,6 @@
   gypsumctl quarantine -metrics 10.0.0.7:7635 -release 45388c39521bb3539f4d51b13629654e`
 )
 
-// maxResponseBytes bounds what is read of a node's response.
-const maxResponseBytes = 64 << 20
-
 // Verb is "gypsumctl quarantine".
 var Verb = command.Verb{Name: "quarantine", Synopsis: synopsis, Run: run}
 
@@ -149,12 +146,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "node %s", address)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := command.NewHTTPClient().Do(request)
 	if err != nil {
 		return errors.Wrapf(err, "node %s", address)
 	}
 	defer func() { _ = response.Body.Close() }() // the body is read to its end below
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return errors.Wrapf(err, "response of node %s", address)
 	}
