link: a frame of a peer is bounded

What could happen: whatever answers at the address of a peer sends a frame without end, and the node keeps all of it until its memory is gone, with the requests of all its clients.

Cause: gob bounds a message by 8 GiB only, and the memory account counts a body after its frame was decoded. Change: a frame may have 80 MiB, which leaves room for the longest body in one piece. Beyond that the connection is closed and the reason logged.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -231,10 +231,15 @@
 	defer c.dropBodies()
 	var symbols symbolDecoder
 	var searchedAt time.Time // for abandoned bodies
-	decoder := gob.NewDecoder(bufio.NewReaderSize(c.socket, bufferBytes))
+	reader := newFrameReader(c.socket)
+	decoder := gob.NewDecoder(reader)
 	for {
 		var f frame
+		reader.startFrame()
 		if err := decoder.Decode(&f); err != nil {
+			if errors.Is(err, errFrameTooLong) {
+				c.node.LogUnexpected("connection with a peer", err)
+			}
 			return
 		}
 		c.received.Store(true)
