link: an invalid header field in a reply leaves the outcome unknown

What callers saw: a field with a blank or a control byte that a target had sent and its node had passed on, which a node of an older build still does while the builds are mixed.

Cause: of the response that a reply states only the status was checked. Change: the names and values of its fields are, too; the entry node logs the reason with the id of the request.

--- a/internal/httpwire/checker.go
+++ b/internal/httpwire/checker.go
@@ -248,7 +248,7 @@
 
 func splitField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found || !isToken(name) {
+	if !found || !IsToken(name) {
 		return nil, nil, errors.Wrapf(ErrInvalid, "field without a valid name in the line %s", quoteName(line))
 	}
 	return name, bytes.Trim(value, " \t"), nil
--- a/internal/httpwire/field.go
+++ b/internal/httpwire/field.go
@@ -2,9 +2,12 @@
 
 import "strings"
 
-// isToken reports whether the name of a field is valid: not empty, and only of the characters that
+// IsField reports whether name and value make a valid header field.
+func IsField(name, value string) bool { return IsToken(name) && indexControl(value) < 0 }
+
+// IsToken reports whether the name of a field is valid: not empty, and only of the characters that
 // HTTP allows there.
-func isToken[T string | []byte](name T) bool {
+func IsToken[T string | []byte](name T) bool {
 	const others = "!#$%&'*+-.^_`|~"
 	for i := 0; i < len(name); i++ {
 		b := name[i]
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -304,6 +304,9 @@
 	switch {
 	case err == nil:
 		d.whole.observeNode(record.Instance, reply)
+		if reply.Invalid != nil {
+			d.log.brokenResponse(call, reply.Invalid)
+		}
 		return reply
 	case errors.Is(err, link.ErrNotSent):
 		return notRun(link.ReasonUnreachable)
--- a/node/link/frame.go
+++ b/node/link/frame.go
@@ -141,6 +141,7 @@
 	Body     []byte
 	Rest     [][]byte      // parts of a long body that follow Body
 	Lease    *memory.Lease // of the memory of a long body, nil for a short one
+	Invalid  error         // why the response that the peer passed on can't be used; not sent
 	Load     Load
 	Views    []ServiceView
 	Origin   callgraph.Origin // who sends requests of the route
--- a/node/link/wire.go
+++ b/node/link/wire.go
@@ -4,8 +4,11 @@
 	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/gypsumford/gypsumford/callgraph"
 	"github.com/gypsumford/gypsumford/internal/httpstatus"
+	"github.com/gypsumford/gypsumford/internal/httpwire"
 	"github.com/gypsumford/gypsumford/node/memory"
 	"github.com/gypsumford/gypsumford/quota"
 	"github.com/gypsumford/gypsumford/route"
@@ -132,15 +135,17 @@
 	return w
 }
 
-// reply decodes a reply. If it states a response with a status that HTTP/1.1 doesn't have, the
-// outcome is unknown.
+// reply decodes a reply. If it states a response that HTTP/1.1 doesn't allow, as a peer of an older
+// build may pass it on, the outcome is unknown.
 func (d *symbolDecoder) reply(w *wireReply) *Reply {
-	if w.Outcome == OutcomeResponded && !httpstatus.IsFinal(w.Status) {
-		w.Outcome, w.Reason, w.Status, w.Header, w.Body = OutcomeUnknown, ReasonBroken, 0, nil, nil
+	header := d.fields(w.Header)
+	invalid := checkResponse(w, header)
+	if invalid != nil {
+		w.Outcome, w.Reason, w.Status, w.Body, header = OutcomeUnknown, ReasonBroken, 0, nil, nil
 	}
 	r := &Reply{
-		Outcome: w.Outcome, Reason: w.Reason, Arrived: w.Arrived, Status: w.Status,
-		Header: d.fields(w.Header), Body: w.Body, Load: w.Load,
+		Outcome: w.Outcome, Reason: w.Reason, Arrived: w.Arrived, Status: w.Status, Invalid: invalid,
+		Header: header, Body: w.Body, Load: w.Load,
 		Origin: w.Origin, Duration: time.Duration(w.Duration) * costUnit, Stated: w.Stated, CountsRetries: w.CountsRetries,
 	}
 	for _, v := range w.Views {
@@ -153,3 +158,20 @@
 	}
 	return r
 }
+
+// checkResponse returns why a reply states a response that HTTP/1.1 doesn't allow, nil if it states
+// none or a valid one.
+func checkResponse(w *wireReply, header []string) error {
+	if w.Outcome != OutcomeResponded {
+		return nil
+	}
+	if !httpstatus.IsFinal(w.Status) {
+		return errors.Newf("peer passed on the status %03d, which HTTP/1.1 doesn't have here", w.Status)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		if !httpwire.IsField(header[i], header[i+1]) {
+			return errors.Newf("peer passed on an invalid header field, %.40q", header[i])
+		}
+	}
+	return nil
+}
