ingress: names of fields are checked by package httpwire

Cause: the check of a field's name stood twice in the tree. Change: ingress uses httpwire.IsToken; nothing else changes.

--- a/node/ingress/head.go
+++ b/node/ingress/head.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gypsumford/gypsumford/internal/httpwire"
 )
 
 // bufferBytes is the size of a write buffer, and the initial size of a connection's read
@@ -91,7 +93,7 @@
 	var hosts, lengths, codings int
 	for _, line := range lines[1:] {
 		name, _, found := strings.Cut(line, ":")
-		if !found || !isToken(name) {
+		if !found || !httpwire.IsToken(name) {
 			return errInvalidField // also a field that continues on the next line
 		}
 		switch len(name) {
@@ -119,20 +121,6 @@
 	return nil
 }
 
-// isToken reports whether the name of a field is valid: not empty, and only of the
-// characters that HTTP allows there.
-func isToken(name string) bool {
-	const others = "!#$%&'*+-.^_`|~"
-	for i := 0; i < len(name); i++ {
-		b := name[i]
-		alphanumeric := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
-		if !alphanumeric && strings.IndexByte(others, b) < 0 {
-			return false
-		}
-	}
-	return name != ""
-}
-
 // checkBytes refuses control characters, and line ends other than CR LF, from the offset
 // on.
 func checkBytes(head []byte, from int) error {
