agent: a response that breaks off doesn't look whole in HTTP/1.0

What callers saw: those that speak HTTP/1.0 got a part of a response as the whole one, where the target gave no length and broke off.

Cause: in HTTP/1.0 the end of the connection ends such a body, and net/http ends it in order when a handler aborts. Change: the connection is reset when a handler aborts.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -326,7 +326,10 @@
 }
 
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: link.ServerIdleTimeout}
+	return &http.Server{
+		Handler: resetOnAbort(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: link.ServerIdleTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
 }
 
 // startControl starts the background work, which is all that doesn't serve calls.
--- a/agent/server.go
+++ b/agent/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -78,6 +79,26 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// resetOnAbort resets the connection if the handler panics, as it does when a response breaks off.
+// In HTTP/1.0 the end of the connection ends the body, so an orderly end would make the part that
+// was written look whole.
+func resetOnAbort(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			if v := recover(); v != nil {
+				if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok {
+					_ = tcp.SetLinger(0) // fails only on a closed connection
+				}
+				panic(v)
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // handleCall serves a call of a caller or a child call of the local target.
 func (a *Agent) handleCall(w http.ResponseWriter, r *http.Request) {
 	release, ok := a.bodies.reserve(r)
