node: a planned stop answers or refuses each request before its end

What callers saw: requests that came while a node was stopping in calm, orders among them, were passed on, and their connections were cut at the end of the grace with no answer.

Cause: every request that arrived until 2.3 s after SIGTERM, or whose head had by then, was sent to a target with all the time it had, whatever was left of the grace. At its end the connections were closed, which told the dispatcher that the callers had left. Change: the deadline of a request that arrives during the stop is no later than the cut-off, so the target stops in time, too. From 2.3 s on, when callers have had time to notice, a request that might last beyond the cut-off is refused as not run. Requests still in flight at the cut-off are cancelled with a cause of their own, and get a response that is true. The cut-off is after seven eighths of the grace (of 6 s: at 5.25 s; connections were closed at 5.3 s before), in the last sixth for any grace.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,6 +65,7 @@
 	fair     *fairShares
 	// onNoTarget is called when no target of a request's service is known.
 	onNoTarget func()
+	stop       atomic.Pointer[stopSchedule] // nil unless the node is stopping
 }
 
 // request is a caller's request and the state of its sends.
@@ -132,7 +134,10 @@
 	if r.route == nil || len(r.route.Destinations) == 0 {
 		return d.end(r, &ingress.Response{Status: http.StatusNotFound, FromNode: true}, "no-route")
 	}
-	r.deadline = deadlineOf(in, r.route)
+	var isTaken bool
+	if r.deadline, isTaken = d.stop.Load().bound(d.now(), deadlineOf(in, r.route)); !isTaken {
+		return d.end(r, refusal(minRetryAfter), "stopping")
+	}
 	if response := d.identify(r); response != nil {
 		return response
 	}
@@ -398,7 +403,7 @@
 		d.tables.recordRefusal(d.now(), r.service, r.priority)
 	}
 	switch {
-	case ctx.Err() != nil && !late:
+	case ctx.Err() != nil && !late && !errors.Is(context.Cause(ctx), ingress.ErrStopped):
 		return d.end(r, nil, "caller-left")
 	case r.lastReply != nil:
 		return d.end(r, responseOf(r.lastReply), why)
--- a/node/ingress/conn.go
+++ b/node/ingress/conn.go
@@ -46,7 +46,7 @@
 	socket   net.Conn
 	reader   *bufio.Reader // used by the goroutine in serve only
 	ctx      context.Context
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 	account  *memory.Client // what the connection holds
 	admitted bool           // there was room for the connection
 	// headBytes is the size of the read buffer beyond its initial size; used by the goroutine in
@@ -80,7 +80,7 @@
 // newConn returns a connection, which must not be served unless it is admitted.
 func newConn(s *Server, socket net.Conn) *conn {
 	c := &conn{server: s, socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes)}
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.mu.changed = sync.NewCond(&c.mu)
 	c.mu.unused = true
 	c.account = s.budget.NewClient(c.evict)
@@ -449,7 +449,7 @@
 
 // abort closes the connection at once and cancels its requests.
 func (c *conn) abort() {
-	c.cancel()
+	c.cancel(nil)
 	_ = c.socket.Close() // nothing can be done about a failure
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/ingress/server.go
+++ b/node/ingress/server.go
@@ -27,9 +27,12 @@
 	// maxBacklogDrainTime bounds the wait for that, since accepting may fail for long.
 	maxBacklogDrainTime = 500 * time.Millisecond
 	stopPollInterval    = 20 * time.Millisecond
+	// cutOffTime is how long the responses to requests that were cut off may take.
+	cutOffTime = 200 * time.Millisecond
 )
 
-// ErrStopped means that the server was stopped.
+// ErrStopped means that the server was stopped. It is the cause with which the contexts of requests
+// are cancelled that are cut off: their callers wait for a response.
 var ErrStopped = errors.New("server stopped")
 
 // Server serves the connections of callers.
@@ -142,7 +145,9 @@
 }
 
 // Stop accepts the connections that callers have already made and no further ones. It
-// waits until each connection has ended with the response to its last request.
+// waits until each connection has ended with the response to its last request. When the context
+// ends, it cuts off the requests that are still in flight and waits until their responses are written,
+// which must be soon, and returns the error of the context.
 func (s *Server) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.mu.stopping = true
@@ -152,14 +157,28 @@
 	for _, c := range s.openConns() {
 		c.stop()
 	}
+	if s.awaitEnd(ctx) {
+		return nil
+	}
+	for _, c := range s.openConns() {
+		c.cancel(ErrStopped)
+	}
+	writing, cancel := context.WithTimeout(context.Background(), cutOffTime)
+	defer cancel()
+	s.awaitEnd(writing)
+	return ctx.Err()
+}
+
+// awaitEnd waits until all connections have ended, and reports whether they have.
+func (s *Server) awaitEnd(ctx context.Context) bool {
 	for len(s.openConns()) > 0 {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return false
 		case <-time.After(stopPollInterval):
 		}
 	}
-	return nil
+	return true
 }
 
 // closeListener makes Serve close the listener after the connections in its backlog are
--- a/node/node.go
+++ b/node/node.go
@@ -145,9 +145,8 @@
 	records        *store.Follower[roster.Record]
 
 	publish  chan struct{} // signals publishLoop that the record has changed
-	stopping atomic.Bool
-	clearing atomic.Bool // clearances are going to be published
-	pulling  atomic.Bool // set while the node waits to pull a newer configuration from a peer
+	clearing atomic.Bool   // clearances are going to be published
+	pulling  atomic.Bool   // set while the node waits to pull a newer configuration from a peer
 	// lastRecordRead is when the node last read the records because a service had no
 	// target, in Unix nanoseconds.
 	lastRecordRead atomic.Int64
@@ -384,7 +383,7 @@
 }
 
 // ready reports whether callers may send requests to this node.
-func (n *Node) ready() bool { return n.tables.inForce.Load() != nil && !n.stopping.Load() }
+func (n *Node) ready() bool { return n.tables.inForce.Load() != nil && n.dispatcher.stop.Load() == nil }
 
 // logRestrictions logs the services for which requests are refused.
 func (n *Node) logRestrictions() {
--- a/node/stop.go
+++ b/node/stop.go
@@ -14,34 +14,58 @@
 	// peers. Until then they use the target, and most of their calls still end within
 	// callerStopDelay.
 	peerStopDelay = 1500 * time.Millisecond
-	// graceMargin is how long before the process is killed the node stops waiting for
-	// requests and calls to end.
-	graceMargin = 1 * time.Second
-	// cutOffMargin is how much longer connections of callers stay open, for the
-	// responses to requests that were cut off.
-	cutOffMargin     = 300 * time.Millisecond
+	// cutOffFraction of the grace time is how long before the process is killed the node stops
+	// waiting for requests and calls to end.
+	cutOffFraction   = 0.125
 	idlePollInterval = 20 * time.Millisecond
 	// quietTime is how long no call must be in flight before the node stops.
 	quietTime = 100 * time.Millisecond
 )
 
+// stopSchedule is the course of a planned stop.
+type stopSchedule struct {
+	late   time.Time // when callers and the platform have had time to notice the stop
+	cutOff time.Time // when requests still in flight are cut off
+}
+
+func newStopSchedule(begun time.Time, graceTime time.Duration) *stopSchedule {
+	return &stopSchedule{
+		late:   begun.Add(callerStopDelay),
+		cutOff: begun.Add(time.Duration((1 - cutOffFraction) * float64(graceTime))),
+	}
+}
+
+// bound returns the deadline of a request that arrives now, which is no later than the cut-off. It
+// returns false if the request arrives late and may last beyond it. Such a request is refused, so
+// that its caller can still send it to another node. s is nil while the node isn't stopping.
+func (s *stopSchedule) bound(now, deadline time.Time) (time.Time, bool) {
+	switch {
+	case s == nil || !deadline.After(s.cutOff):
+		return deadline, true
+	case now.Before(s.late):
+		return s.cutOff, true
+	}
+	return deadline, false
+}
+
 // stopGracefully lets requests in flight complete, as far as the grace time allows.
 func (n *Node) stopGracefully(s *servers) {
 	started := n.now()
-	n.stopping.Store(true)
+	schedule := newStopSchedule(started, n.settings.GraceTime)
+	n.dispatcher.stop.Store(schedule)
 	n.log.Info("node stopping", "requests", n.ingress.InFlight(), "calls", n.delivery.inFlight())
 	time.Sleep(peerStopDelay)
 	n.announceStopping()
 	time.Sleep(callerStopDelay - peerStopDelay)
 	// From here on the node accepts no connections of callers, and closes each open one
 	// after the response to its last request.
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.settings.GraceTime-graceMargin+cutOffMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.cutOff)
 	defer cancel()
 	if err := n.ingress.Stop(ctx); err != nil {
-		n.log.Info("requests cut off", "requests", n.ingress.InFlight(), "error", err.Error())
+		n.log.Info("requests cut off", "error", err.Error())
 		n.ingress.Close()
 	}
-	n.waitIdle(started.Add(n.settings.GraceTime - graceMargin))
+	n.waitIdle(schedule.cutOff)
 	_ = s.peers.Close()
 	for _, server := range s.control {
 		_ = server.Close() // their requests are short
