egress: one bound on heads, one place that decides on reuse; proofs by mutation

Cause: heads were bounded in egress and in httpwire, so that the mutation 'egress-bytes-without-end', which took the former out, was caught by nothing; 'egress-second-copy' named a line that had changed. Change: httpwire alone bounds heads, and the mutation takes that bound out; egress bounds the whole response. Send closes each connection that httpwire doesn't call reusable, also after a refusal without an ID.

--- a/node/egress/meter.go
+++ b/node/egress/meter.go
@@ -9,12 +9,10 @@
 )
 
 const (
-	// maxHeadBytes bounds the head of each response, interim ones included.
-	maxHeadBytes = 64 << 10
 	// maxBodyBytes bounds the body of a response, without its framing.
 	maxBodyBytes = 64 << 20
 	// framingFactor times maxBodyBytes bounds the bytes that are read from the connection
-	// for one body: the chunked encoding adds lines of its own.
+	// for one response: the chunked encoding adds lines of its own.
 	framingFactor = 2
 	// uncountedBytes is what a body may have without being counted. The number of such bodies is
 	// bounded by the slots of the target.
--- a/node/egress/send.go
+++ b/node/egress/send.go
@@ -83,7 +83,7 @@
 	if response != nil && response.Fields.NotRun && !c.recordRefusal(r.ID) {
 		idleTimeout = 0
 	}
-	if err != nil || idleTimeout <= 0 {
+	if err != nil || idleTimeout <= 0 || !c.wire.IsReusable() {
 		c.close()
 	} else {
 		s.pool.put(c, idleTimeout)
@@ -161,8 +161,8 @@
 			return nil, 0, err
 		}
 		if response.Fields.RequestID == r.ID {
-			if c.reader.Buffered() > 0 || skipped > 0 || !c.wire.IsReusable() {
-				idleTimeout = 0 // responses to other requests, or other bytes, may follow
+			if c.reader.Buffered() > 0 || skipped > 0 {
+				idleTimeout = 0 // responses to other requests may follow
 			}
 			return response, idleTimeout, nil
 		}
@@ -188,11 +188,11 @@
 	return nil, 0, errors.Newf("response with status %d has no request ID", response.Status)
 }
 
-// readResponse reads one response to a request of the method, and skips interim ones, whose number
-// c.wire bounds.
+// readResponse reads one response to a request of the method, and skips interim ones. c.wire bounds
+// their number, and the size of each head.
 func (s *Sender) readResponse(c *conn, method string) (*Response, time.Duration, error) {
 	for {
-		c.bounded.remaining = maxHeadBytes
+		c.bounded.remaining = framingFactor * maxBodyBytes
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "read response head")
@@ -200,7 +200,6 @@
 		if httpstatus.IsInterim(head.StatusCode) {
 			continue
 		}
-		c.bounded.remaining = framingFactor * maxBodyBytes
 		length := head.ContentLength
 		if head.Body == http.NoBody {
 			length = 0 // a response to HEAD states the length of a body that doesn't follow
