egress: the connection of an unsigned success is closed

What could happen: a success without the target's signature was corrupted on its way and counts as broken, but its connection was used for the next request.

Cause: the egress took it for a good response; only the node behind it looks at the signature. Change: Response.IsUnsignedSuccess, by which the sender closes the connection and the node refuses to pass the response on, as before. Result: TestConnectionOfAnUnsignedSuccessIsClosed failed before (one connection for both requests).

--- a/node/delivery.go
+++ b/node/delivery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -363,9 +362,7 @@
 	now := d.now()
 	d.speed.observe(now, &sentTo, c.Route, now.Sub(sentAt), response)
 	switch {
-	case err == nil && response.Status < http.StatusMultipleChoices && !response.Fields.Signed:
-		// A success without the target's signature was corrupted on its way, so it
-		// isn't passed on.
+	case err == nil && response.IsUnsignedSuccess():
 		d.log.brokenResponse(c, errUnsigned)
 		response.Lease.Release()
 		return &link.Reply{Outcome: link.OutcomeUnknown, Reason: link.ReasonBroken, Arrived: true}
--- a/node/egress/brokenhead_test.go
+++ b/node/egress/brokenhead_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
@@ -130,3 +132,29 @@
 		So(target.connections.Load(), ShouldEqual, 2)
 	})
 }
+
+// unsignedDialect finds no signature in any response.
+type unsignedDialect struct{ plainDialect }
+
+func (d unsignedDialect) ReadResponse(status int, h http.Header) ResponseFields {
+	fields := d.plainDialect.ReadResponse(status, h)
+	fields.Signed = false
+	return fields
+}
+
+// A success without a signature was corrupted on its way, and its connection was used again.
+func TestConnectionOfAnUnsignedSuccessIsClosed(t *testing.T) {
+	for status, connections := range map[string]int32{"200": 2, "500": 1} {
+		Convey("Two requests with unsigned responses "+status, t, func() {
+			target := newFakeTarget(t, func(id string) (string, bool) {
+				return strings.Replace(okResponse(id, "y"), "200", status, 1), false
+			})
+			s := NewSender(NewPool(target.listener.Addr().String(), time.Now), unsignedDialect{}, 0)
+			for range 2 {
+				_, err := send(s, "1")
+				So(err, ShouldBeNil)
+			}
+			So(target.connections.Load(), ShouldEqual, connections)
+		})
+	}
+}
--- a/node/egress/send.go
+++ b/node/egress/send.go
@@ -46,6 +46,12 @@
 	Fields ResponseFields
 }
 
+// IsUnsignedSuccess reports whether the response states a success without the target's signature. It
+// was corrupted on its way.
+func (r *Response) IsUnsignedSuccess() bool {
+	return r.Status < http.StatusMultipleChoices && !r.Fields.Signed
+}
+
 // Sender sends requests over a pool's connections to the target.
 type Sender struct {
 	pool    *Pool
@@ -83,6 +89,9 @@
 	if response != nil && response.Fields.NotRun && !c.recordRefusal(r.ID) {
 		idleTimeout = 0
 	}
+	if err == nil && response.IsUnsignedSuccess() {
+		idleTimeout = 0 // what follows on the connection may be corrupted, too
+	}
 	if err != nil || idleTimeout <= 0 || !c.wire.IsReusable() {
 		c.close()
 	} else {
