--- a/agent/link/invalid_test.go
+++ b/agent/link/invalid_test.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -17,6 +16,7 @@
 	"github.com/gypsumford/gypsumford/call"
 	"github.com/gypsumford/gypsumford/callhttp"
 	"github.com/gypsumford/gypsumford/fleet"
+	"github.com/gypsumford/gypsumford/internal/httpwire/wiretest"
 )
 
 // reasons collects why responses can't be used.
@@ -71,30 +71,16 @@
 // A target answered a long body before it was written, without a length, and reset the connection:
 // the part that arrived was taken for the whole body.
 func TestResetDuringABodyIsNotItsEnd(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = http.ReadRequest(bufio.NewReader(socket))
-				_, _ = fmt.Fprint(socket, "HTTP/1.1 200 OK\r\n\r\npart")
-				_ = socket.(*net.TCPConn).SetLinger(0)
-				_ = socket.Close()
-			}()
-		}
-	}()
+	address := wiretest.Start(t, wiretest.AnyAddress, func(socket *net.TCPConn, _ *http.Request) bool {
+		wiretest.Write(socket, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = socket.SetLinger(0)
+		return false
+	})
 	l := New(NewTransport(), time.Now)
 	for range 300 {
 		request := newRequest("r1")
 		request.Body = make([]byte, 32<<20)
-		reply := l.Target(context.Background(), listener.Addr().String(), request, http.Header{})
+		reply := l.Target(context.Background(), address, request, http.Header{})
 		if body, err := readAll(reply); reply.Outcome == call.Completed && err == nil {
 			t.Fatalf("%q was taken for the whole body", body)
 		}
--- a/command/verbs/broken_test.go
+++ b/command/verbs/broken_test.go
@@ -1,56 +1,19 @@
 package verbs
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gypsumford/gypsumford/command"
+	"github.com/gypsumford/gypsumford/internal/httpwire/wiretest"
 	"github.com/gypsumford/gypsumford/rpc/operator"
 	"github.com/gypsumford/gypsumford/rpc/peer"
 )
 
-// startRawNode starts a server that answers each request with the bytes and, if endless isn't "",
-// then with those without end. sent counts these.
-func startRawNode(t *testing.T, response, endless string) (address string, sent *atomic.Int64) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	sent = &atomic.Int64{}
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = socket.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(socket))
-				if err == nil {
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, err = io.WriteString(socket, response)
-				}
-				for err == nil && endless != "" {
-					var n int
-					n, err = io.WriteString(socket, endless)
-					sent.Add(int64(n))
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String(), sent
-}
-
 // Guards against operators who are shown a broken answer as the state of a node, and against an
 // answer without end that fills the memory of their machine.
 func TestBrokenAnswersOfNodes(t *testing.T) {
@@ -72,7 +35,7 @@
 		{[]string{"status", "-node"}, string(members)},
 	} {
 		run := func(response string) int {
-			address, _ := startRawNode(t, response, "")
+			address, _ := wiretest.StartEndless(t, response, "")
 			status, _ := runCtl(nil, append(verb.args, address)...)
 			return status
 		}
@@ -91,7 +54,7 @@
 			}
 		})
 		Convey(verb.args[0]+" fails for an answer without end", t, func() {
-			address, sent := startRawNode(t, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat(" ", 1<<16))
+			address, sent := wiretest.StartEndless(t, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat(" ", 1<<16))
 			status, out := runCtl(nil, append(verb.args, address)...)
 			So(status, ShouldEqual, command.ExitFailure)
 			So(out, ShouldNotContainSubstring, "deadline")
--- a/internal/httpwire/checker.go
+++ b/internal/httpwire/checker.go
@@ -123,11 +123,9 @@
 
 func (k *checker) endResponse() {
 	k.position, k.interim = betweenResponses, 0
-	k.startSection()
+	k.section = 0
 }
 
-func (k *checker) startSection() { k.section = 0 }
-
 // endLine checks the current line, which ends with a line feed.
 func (k *checker) endLine() error {
 	line := k.line
@@ -148,7 +146,7 @@
 		if len(line) > 0 {
 			return k.head.readField(line)
 		}
-		k.startSection()
+		k.section = 0
 		return k.endHead()
 	case chunkSize:
 		return k.readChunkSize(line)
@@ -157,7 +155,7 @@
 			return errors.Wrap(ErrInvalid, "chunk is longer than its size")
 		}
 		k.position = chunkSize
-		k.startSection()
+		k.section = 0
 		return nil
 	default: // trailerField
 		if len(line) > 0 {
@@ -256,7 +254,7 @@
 
 // readChunkSize reads the size of a chunk, and drops its extensions.
 func (k *checker) readChunkSize(line []byte) error {
-	k.startSection()
+	k.section = 0
 	digits, _, _ := bytes.Cut(line, []byte(";"))
 	size := bytes.TrimLeft(digits, "0")
 	if len(digits) == 0 || !isHex(size) || len(size) > maxChunkDigits {
--- a/internal/httpwire/transport_test.go
+++ b/internal/httpwire/transport_test.go
@@ -1,7 +1,6 @@
 package httpwire
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -11,43 +10,20 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/internal/httpwire/wiretest"
 )
 
 // startServer starts a server that answers each request with the bytes that respond returns, and
 // then ends the connection with end, unless that is nil.
 func startServer(t *testing.T, respond func(*http.Request) string, end func(*net.TCPConn)) (url string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = socket.Close() }()
-				reader := bufio.NewReader(socket)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if _, err := io.WriteString(socket, respond(request)); err != nil {
-						return
-					}
-					if end != nil {
-						end(socket.(*net.TCPConn))
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-				}
-			}()
+	return "http://" + wiretest.Start(t, wiretest.AnyAddress, func(socket *net.TCPConn, r *http.Request) bool {
+		isOpen := wiretest.Write(socket, respond(r))
+		if end != nil {
+			end(socket)
 		}
-	}()
-	return "http://" + listener.Addr().String()
+		return isOpen && end == nil
+	})
 }
 
 func roundTrip(transport *Transport, method, url string, body []byte) (string, error) {
--- a/node/egress/reset_test.go
+++ b/node/egress/reset_test.go
@@ -1,9 +1,7 @@
 package egress
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -12,32 +10,19 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/gypsumford/gypsumford/internal/httpwire/wiretest"
 )
 
 // startEarlyTarget starts a target that answers a long upload before it has read it, with a body
 // that ends with the connection, and then ends the connection with end.
 func startEarlyTarget(t *testing.T, body string, end func(*net.TCPConn)) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			socket, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				reader := bufio.NewReader(socket)
-				_, _ = http.ReadRequest(reader)
-				_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+body)
-				time.Sleep(5 * time.Millisecond) // the response arrives while the upload waits to be read
-				end(socket.(*net.TCPConn))
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return wiretest.Start(t, wiretest.AnyAddress, func(socket *net.TCPConn, _ *http.Request) bool {
+		wiretest.Write(socket, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+body)
+		time.Sleep(5 * time.Millisecond) // the response arrives while the upload waits to be read
+		end(socket)
+		return false
+	})
 }
 
 func sendUpload(address string) (*Response, error) {
@@ -54,7 +39,6 @@
 	Convey("A body that a reset ends is a part", t, func() {
 		address := startEarlyTarget(t, strings.Repeat("x", 1000), func(socket *net.TCPConn) {
 			_ = socket.SetLinger(0)
-			_ = socket.Close()
 		})
 		for range 100 {
 			response, err := sendUpload(address)
@@ -67,7 +51,6 @@
 		address := startEarlyTarget(t, strings.Repeat("x", size), func(socket *net.TCPConn) {
 			_ = socket.CloseWrite()
 			time.Sleep(50 * time.Millisecond)
-			_ = socket.Close()
 		})
 		for range 10 {
 			response, err := sendUpload(address)
