--- a/node/ingress/server.go
+++ b/node/ingress/server.go
@@ -28,7 +28,7 @@
 	maxBacklogDrainTime = 500 * time.Millisecond
 	stopPollInterval    = 20 * time.Millisecond
 	// cutOffTime is how long the responses to requests that were cut off may take.
-	cutOffTime = 200 * time.Millisecond
+	cutOffTime = 300 * time.Millisecond
 )
 
 // ErrStopped means that the server was stopped. It is the cause with which the contexts of requests
