node: a target's refusal that doesn't state "not run" isn't delivered as one

Cause: the entry node passed on whatever a target had answered to a request that must not run twice, also a 503, 429 or 408 without the statement that the request has not run.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -343,7 +343,7 @@
 	case link.OutcomeResponded:
 		if reply.Status < http.StatusInternalServerError || !r.route.Idempotent || !mayRetry ||
 			!d.tables.isTargetFault(r.route.Name, r.service, choice.Record.Target.ID) {
-			return d.end(r, responseOf(reply), "answered")
+			return d.respond(r, reply)
 		}
 		r.lastReply = reply
 	case link.OutcomeUnknown:
--- a/node/log.go
+++ b/node/log.go
@@ -55,6 +55,11 @@
 	l.Info("answer broken", "request", c.RequestID, "target", c.TargetID, "error", err.Error())
 }
 
+// refusalUnproven logs that a target refused a request without stating that it has not run.
+func (l decisionLog) refusalUnproven(r *request, status int) {
+	l.Info("refusal unproven", "request", r.RequestID, "target", r.choice.Record.Target.ID, "status", status)
+}
+
 // targetEnded logs that the target's process has ended, and the calls that were in flight
 // there. They are in one line, because the many lines about calls that end with the target may
 // exceed the limit of lines.
