node: a crash is put down to a run until its deadline, also if its caller left long before

Cause: a run whose caller had left was remembered for one second. A target that worked on longer and crashed then wasn't even looked at, as no connection was left to break. A call that found the target's port closed didn't look either. Change: quarantine.Unfinished remembers runs that ended without a response until their deadline, with a bound on their number; the node looks for a crash while it holds one, and at once when a call can't reach the target. Bodies of such calls aren't held any more. Targets stop at the deadline, so no later run can be the cause.

--- a/node/crash.go
+++ b/node/crash.go
@@ -13,22 +13,27 @@
 const (
 	// endedCheckTimeout bounds the check whether the target's process has ended.
 	endedCheckTimeout = 200 * time.Millisecond
-	// cancelledRunMemory is how long a run that was cancelled counts as in flight. The target
-	// may still work on it, and crash by it.
-	cancelledRunMemory = 1 * time.Second
-	// cancelledCheckInterval is the time between checks, during cancelledRunMemory, whether the
-	// target has crashed by a run that was cancelled: no connection breaks that would show it.
-	cancelledCheckInterval = 200 * time.Millisecond
+	// unfinishedCheckInterval is the time between checks whether the target has crashed, while it
+	// may work on runs that nobody waits for.
+	unfinishedCheckInterval = 200 * time.Millisecond
 )
 
 // run is a call that is sent to the local target, until it ends.
 type run struct {
-	call        *link.Call
+	requestID   string
+	route       string
 	fingerprint quarantine.Fingerprint
 	target      roster.Target // incarnation that it is sent to
-	writtenAt   time.Time     // when it was written to the target, zero before
-	cancelledAt time.Time     // zero unless it was cancelled
-	crashed     bool          // the target crashed while the call was in flight
+	deadline    time.Time
+	writtenAt   time.Time // when it was written to the target, zero before
+	unfinished  bool      // nobody waits for its response any more
+	ended       bool      // the target's process ended while the call was in flight
+	crashed     bool      // by a crash
+}
+
+// isAt reports whether the run was sent to that incarnation of the target.
+func (r *run) isAt(target *roster.Target) bool {
+	return r.target.ID == target.ID && r.target.Born == target.Born
 }
 
 // fingerprintOf returns the fingerprint of a call. Calls of targets name no account.
@@ -44,58 +49,67 @@
 	d.mu.runs[r] = struct{}{}
 }
 
-// endWrite records that a call is no longer in flight at the target. One that was cancelled is
-// kept for a while.
-func (d *delivery) endWrite(r *run, cancelled bool) {
+// endWrite records that nobody waits any more for the response to a call. The target may still work
+// on it if there was none.
+func (d *delivery) endWrite(r *run, responded bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	if cancelled && !r.writtenAt.IsZero() {
-		r.cancelledAt = now
-		if !d.mu.checkingCancelled {
-			d.mu.checkingCancelled = true
-			time.AfterFunc(cancelledCheckInterval, d.checkCancelled)
-		}
-	} else {
-		delete(d.mu.runs, r)
+	delete(d.mu.runs, r)
+	if responded || r.ended || r.writtenAt.IsZero() {
+		return
 	}
-	if len(d.mu.runs) > d.mu.limiter.Running() {
-		d.forgetCancelled(now)
+	r.unfinished = true
+	d.mu.unfinished.Add(r, r.deadline)
+	if !d.mu.checkingUnfinished {
+		d.mu.checkingUnfinished = true
+		time.AfterFunc(unfinishedCheckInterval, d.checkUnfinished)
 	}
 }
 
-// checkCancelled looks whether the target has crashed by a run that was cancelled, until such runs
-// are forgotten. Connections that are open show that it hasn't, so mostly none is made.
-func (d *delivery) checkCancelled() {
+// checkUnfinished looks whether the target has crashed by an unfinished run, until none is left.
+func (d *delivery) checkUnfinished() {
 	d.mu.Lock()
-	d.forgetCancelled(d.now())
-	var cancelled *run
-	inFlight := false
-	for r := range d.mu.runs {
-		if r.cancelledAt.IsZero() {
-			inFlight = true // its connection shows a crash
-		} else if !r.crashed {
-			cancelled = r
-		}
+	r := d.lastUnfinished()
+	d.mu.checkingUnfinished = r != nil
+	d.mu.Unlock()
+	if r != nil {
+		d.noticeCrash(r)
+		time.AfterFunc(unfinishedCheckInterval, d.checkUnfinished)
 	}
-	d.mu.checkingCancelled = cancelled != nil
+}
+
+// targetUnreachable looks at once whether the target has crashed by an unfinished run, as a call
+// couldn't reach it.
+func (d *delivery) targetUnreachable() {
+	d.mu.Lock()
+	r := d.lastUnfinished()
 	d.mu.Unlock()
-	if cancelled == nil {
-		return
+	if r != nil {
+		d.noticeCrash(r)
 	}
+}
+
+// noticeCrash looks whether the target has crashed by an unfinished run. An open connection shows
+// that it hasn't, and one of a call in flight shows the crash itself, so mostly none is made.
+func (d *delivery) noticeCrash(r *run) {
+	d.mu.Lock()
+	inFlight := len(d.mu.runs) > 0
+	d.mu.Unlock()
 	if !inFlight && !d.pool.HasOpenIdle() {
-		d.hasCrashed(cancelled)
+		d.hasCrashed(r)
 	}
-	time.AfterFunc(cancelledCheckInterval, d.checkCancelled)
 }
 
-// forgetCancelled drops runs that were cancelled long ago. The lock is held.
-func (d *delivery) forgetCancelled(now time.Time) {
-	for r := range d.mu.runs {
-		if !r.cancelledAt.IsZero() && now.Sub(r.cancelledAt) > cancelledRunMemory {
-			delete(d.mu.runs, r)
+// lastUnfinished returns the last run at the current incarnation of the target that is unfinished, or
+// nil. The lock is held.
+func (d *delivery) lastUnfinished() *run {
+	current, _ := d.mu.local.Target()
+	for _, r := range slices.Backward(d.mu.unfinished.InFlight(d.now())) {
+		if !r.ended && r.isAt(&current) {
+			return r
 		}
 	}
+	return nil
 }
 
 // hasCrashed reports whether the target crashed while the call was in flight. It is called
@@ -134,6 +148,9 @@
 	isCurrent := current.ID == target.ID && current.Born == target.Born
 	isCrash = !isCurrent || drainStart.IsZero() && !current.Leaving
 	inFlight := d.runsInFlight(target)
+	for _, r := range inFlight {
+		r.ended, r.crashed = true, isCrash
+	}
 	d.log.targetEnded(&target, !isCrash, inFlight, now)
 	if !isCrash {
 		d.metrics.targetEnds.Add("planned", 1)
@@ -144,7 +161,6 @@
 	crash = quarantine.Crash{Born: target.Born, At: now.UnixMilli(), Service: target.Service, Version: target.Version}
 	slices.SortFunc(inFlight, func(a, b *run) int { return b.writtenAt.Compare(a.writtenAt) })
 	for _, r := range inFlight {
-		r.crashed = true
 		if !d.mu.completions.Refutes(r.fingerprint, crash.At) {
 			crash.Suspects = append(crash.Suspects, r.fingerprint)
 		}
@@ -152,13 +168,17 @@
 	return crash, true
 }
 
-// runsInFlight returns the runs at an incarnation of the target, those included that were
-// cancelled a moment ago. The lock is held.
+// runsInFlight returns the runs at an incarnation of the target, those included that are unfinished.
+// The lock is held.
 func (d *delivery) runsInFlight(target roster.Target) []*run {
-	d.forgetCancelled(d.now())
 	var runs []*run
 	for r := range d.mu.runs {
-		if r.target.ID == target.ID && r.target.Born == target.Born && !r.crashed {
+		if r.isAt(&target) && !r.ended {
+			runs = append(runs, r)
+		}
+	}
+	for _, r := range d.mu.unfinished.InFlight(d.now()) {
+		if r.isAt(&target) && !r.ended {
 			runs = append(runs, r)
 		}
 	}
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -66,11 +66,12 @@
 		drainTime     time.Duration
 		wakeTimer     *time.Timer // grants slots that become free with time; nil if none is due
 		calls         callCounts
-		runs          map[*run]struct{} // at the target, those included that were cancelled a moment ago
+		runs          map[*run]struct{} // at the target, whose responses are awaited
+		unfinished    quarantine.Unfinished[*run]
 		completions   quarantine.Completions
-		// checkingCancelled is set while checkCancelled is due.
-		checkingCancelled bool
-		probation         quarantine.Probation
+		// checkingUnfinished is set while checkUnfinished is due.
+		checkingUnfinished bool
+		probation          quarantine.Probation
 		// invalidLoggedAt is when a statement that can't be read was last logged.
 		invalidLoggedAt time.Time
 		limitLoggedAt   time.Time // when a change of the rate limit was last logged
@@ -350,14 +351,14 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	sentTo, sentAt := d.target(), d.now()
-	inFlight := &run{call: c, fingerprint: f, target: sentTo}
+	inFlight := &run{requestID: c.RequestID, route: c.Route, fingerprint: f, target: sentTo, deadline: deadline}
 	response, err := d.sender.Send(ctx, &egress.Request{
 		ID: c.RequestID, TargetID: c.TargetID, Method: c.Method, URI: c.URI, Host: c.Host,
 		Header: c.Header, Body: c.Body, Rest: c.Rest, RemainingTime: remaining, CallerService: c.CallerService,
 		Account: c.Account,
 		OnWrite: func() { d.beginWrite(inFlight) },
 	})
-	defer func() { d.endWrite(inFlight, ctx.Err() != nil) }()
+	defer func() { d.endWrite(inFlight, response != nil) }()
 	d.observeResponse(c, sentTo, sentAt, response)
 	now := d.now()
 	d.speed.observe(now, &sentTo, c.Route, now.Sub(sentAt), response)
@@ -374,6 +375,9 @@
 			Body:   response.Body, Rest: response.Rest, Lease: response.Lease,
 		}
 	case errors.Is(err, egress.ErrUnreachable):
+		if ctx.Err() == nil {
+			d.targetUnreachable()
+		}
 		return notRun(link.ReasonUnreachable)
 	case errors.Is(err, egress.ErrNotRun):
 		reply := notRun(link.ReasonRefused)
--- a/node/log.go
+++ b/node/log.go
@@ -67,8 +67,8 @@
 	calls := make([]suspectCall, len(suspects))
 	for i, s := range suspects {
 		calls[i] = suspectCall{
-			Fingerprint: s.fingerprint, Request: s.call.RequestID, Route: s.call.Route,
-			RanMs: now.Sub(s.writtenAt).Milliseconds(), Cancelled: !s.cancelledAt.IsZero(),
+			Fingerprint: s.fingerprint, Request: s.requestID, Route: s.route,
+			RanMs: now.Sub(s.writtenAt).Milliseconds(), Unfinished: s.unfinished,
 		}
 	}
 	l.Info("target ended", "target", target.ID, "born", target.Born, "planned", planned, "inFlight", calls)
@@ -80,7 +80,7 @@
 	Request     string                 `json:"request"`
 	Route       string                 `json:"route"`
 	RanMs       int64                  `json:"ranMs"`
-	Cancelled   bool                   `json:"cancelled,omitempty"`
+	Unfinished  bool                   `json:"unfinished,omitempty"`
 }
 
 // quarantineChanged logs that the status of a request has changed. from is the instance whose
