node: the next incarnation of a target shows that the last one crashed

Callers saw targets go down over and over by one request, though each crash broke its connection: the request was never suspect. Cause: the only sign of a crash was a refused connection. A target that listens again before its node has looked, or a system that doesn't refuse the connection, hid it. Change: a heartbeat of a new incarnation, where the last one hadn't stated that it leaves, reports a crash with what was in flight at the last one, unless the crash is known. It works as each start of a target is a new incarnation, which its heartbeats name.

--- a/node/crash.go
+++ b/node/crash.go
@@ -129,7 +129,13 @@
 	if !d.pool.HasEnded(ctx) {
 		return false
 	}
-	crash, isCrash := d.recordEnd(r.target)
+	return d.reportEnd(r.target)
+}
+
+// reportEnd records that the process of an incarnation of the target has ended, and reports it to
+// peers if that is a crash. The lock for checks is held.
+func (d *delivery) reportEnd(target roster.Target) (isCrash bool) {
+	crash, isCrash := d.recordEnd(target)
 	if isCrash {
 		crash.Suspects = d.tables.mostSuspicious(crash.Suspects)
 		d.onCrash(crash)
@@ -137,6 +143,20 @@
 	return isCrash
 }
 
+// targetReplaced reports a crash of an incarnation that didn't state that it leaves, when the next one
+// has taken its place. Mostly the crash is known by then; it isn't if the next one accepted connections
+// before the node looked.
+func (d *delivery) targetReplaced(before roster.Target) {
+	d.crashCheck.Lock()
+	defer d.crashCheck.Unlock()
+	d.mu.Lock()
+	unexplained := len(d.runsInFlight(before)) > 0
+	d.mu.Unlock()
+	if unexplained {
+		d.reportEnd(before)
+	}
+}
+
 // recordEnd records that the process of an incarnation of the target has ended. The end is
 // a crash unless the target was leaving. What was in flight and hasn't completed elsewhere a
 // moment ago is suspect.
--- a/node/delivery.go
+++ b/node/delivery.go
@@ -97,7 +97,7 @@
 // changed that is to be published.
 func (d *delivery) heartbeat(t roster.Target) bool {
 	d.mu.Lock()
-	before, _ := d.mu.local.Target()
+	before, drainStart := d.mu.local.Target()
 	changed := d.mu.local.Heartbeat(d.now(), t)
 	after, _ := d.mu.local.Target()
 	d.mu.limiter.SetSlots(after.Slots)
@@ -108,6 +108,9 @@
 	d.mu.Unlock()
 	if before.ID != after.ID || before.Born != after.Born {
 		d.pool.CloseIdle()
+		if drainStart.IsZero() && !before.Leaving {
+			d.targetReplaced(before)
+		}
 	}
 	return changed
 }
