agent: a crash is put down to a call whose caller has left, in the own interface too

Callers of the own interface saw a target go down over and over by one call whose caller leaves before the crash: it was never suspect. Cause: the same as on the platform's path: only a call whose connection broke looked for a crash, and a call without a caller was forgotten at once. Change: such calls are remembered until their deadline (quarantine.Unfinished); while there is one, the node looks every 200 ms whether the target listens, unless a call in flight would show the crash.

--- a/agent/delivery.go
+++ b/agent/delivery.go
@@ -165,13 +165,20 @@
 	defer d.parents.remove(parent)
 	d.metrics.Attempts.Add(1)
 	d.ring.recordCall(timeline.Started, &r.Call, d.className(&r.Call), "")
-	reply := d.link.Target(ctx, address, r, d.targetFields(&r.Call, parent.token))
-	checkCrash := func() {
+	targetRun.checkCrash = func() {
 		_, _, state := d.target.get()
 		d.quarantines.lost(targetRun, r.Call.Service, address, state == fleet.Draining)
 	}
-	if reply.NoResponse && ctx.Err() == nil {
-		checkCrash()
+	broken := func() {
+		if ctx.Err() == nil {
+			targetRun.checkCrash()
+		} else {
+			d.quarantines.callerLeft(targetRun)
+		}
+	}
+	reply := d.link.Target(ctx, address, r, d.targetFields(&r.Call, parent.token))
+	if reply.NoResponse {
+		broken()
 	}
 	if reply.ConnectFailed {
 		d.target.lost()
@@ -190,11 +197,7 @@
 			endRun()
 			d.finish(ticket, admission.Completed)
 		}
-		d.quarantines.watchBody(reply, targetRun, func() {
-			if ctx.Err() == nil {
-				checkCrash()
-			}
-		})
+		d.quarantines.watchBody(reply, targetRun, broken)
 		reply.Body = notifyOnEnd(reply.Body, finish)
 	} else {
 		endRun()
--- a/agent/quarantine.go
+++ b/agent/quarantine.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +37,9 @@
 	quarantinePeers = 2
 	// endedCheckTimeout bounds the check whether the target's process has ended.
 	endedCheckTimeout = 200 * time.Millisecond
+	// unfinishedCheckInterval is the time between checks whether the target has crashed, while it
+	// may work on calls whose callers have left.
+	unfinishedCheckInterval = 200 * time.Millisecond
 )
 
 // quarantines holds what all nodes have seen of calls that crash targets, and what this
@@ -59,13 +64,19 @@
 		completions quarantine.Completions
 		probation   quarantine.Probation
 		running     map[*targetRun]struct{}
+		unfinished  quarantine.Unfinished[*targetRun]
+		// checking is set while checkUnfinished is due.
+		checking bool
 	}
 }
 
 // targetRun is a call that the local target runs.
 type targetRun struct {
 	fingerprint quarantine.Fingerprint
+	deadline    time.Time
 	crashed     bool
+	// checkCrash looks whether the target has crashed by the call.
+	checkCrash func()
 }
 
 func newQuarantines(a *Agent) *quarantines {
@@ -146,7 +157,7 @@
 
 // begin decides whether the local target may run a call now. end is called with the reply.
 func (q *quarantines) begin(r *exchange.Request) (run *targetRun, end func(), refusal *exchange.Reply) {
-	run = &targetRun{fingerprint: fingerprintOf(r)}
+	run = &targetRun{fingerprint: fingerprintOf(r), deadline: r.Call.Deadline}
 	placement, candidates := q.place(r, run.fingerprint)
 	if !placement.Allows(candidates, string(q.self)) {
 		return nil, nil, q.refuse(placement, r.Call.Grant)
@@ -190,7 +201,8 @@
 	now := q.now().UnixMilli()
 	crash := quarantine.Crash{Born: now, At: now, Service: service}
 	q.mu.Lock()
-	for r := range q.mu.running {
+	inFlight := append(slices.Collect(maps.Keys(q.mu.running)), q.mu.unfinished.InFlight(q.now())...)
+	for _, r := range inFlight {
 		if !r.crashed && !q.mu.completions.Refutes(r.fingerprint, now) {
 			crash.Suspects = append(crash.Suspects, r.fingerprint)
 		}
@@ -204,6 +216,39 @@
 	}
 }
 
+// callerLeft records that a call has no caller any more. The target may still work on it.
+func (q *quarantines) callerLeft(run *targetRun) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.mu.unfinished.Add(run, run.deadline)
+	if !q.mu.checking {
+		q.mu.checking = true
+		time.AfterFunc(unfinishedCheckInterval, q.checkUnfinished)
+	}
+}
+
+// checkUnfinished looks whether the target has crashed by a call whose caller has left, until no such
+// call is left. A call in flight shows the crash itself.
+func (q *quarantines) checkUnfinished() {
+	q.mu.Lock()
+	var last *targetRun
+	for _, r := range q.mu.unfinished.InFlight(q.now()) {
+		if !r.crashed {
+			last = r
+		}
+	}
+	inFlight := len(q.mu.running) > 0
+	q.mu.checking = last != nil
+	q.mu.Unlock()
+	if last == nil {
+		return
+	}
+	if !inFlight {
+		last.checkCrash()
+	}
+	time.AfterFunc(unfinishedCheckInterval, q.checkUnfinished)
+}
+
 // hasEnded reports whether nothing listens at the target's address.
 func hasEnded(address string) bool {
 	connection, err := net.DialTimeout("tcp", address, endedCheckTimeout)
--- a/agent/quarantine_test.go
+++ b/agent/quarantine_test.go
@@ -22,6 +22,7 @@
 // path contains "deadly". It starts again at the same address.
 type crashingTarget struct {
 	address string
+	delay   time.Duration // from the begin of a deadly call until the crash
 	mu      struct {
 		sync.Mutex
 		server  *http.Server
@@ -31,13 +32,13 @@
 
 const crashRestart = 400 * time.Millisecond
 
-func startCrashingTarget(t *testing.T, node *testNode, service string) *crashingTarget {
+func startCrashingTarget(t *testing.T, node *testNode, service string, delay time.Duration) *crashingTarget {
 	node.silent.Store(true) // the target below announces itself instead
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &crashingTarget{address: listener.Addr().String()}
+	c := &crashingTarget{address: listener.Addr().String(), delay: delay}
 	c.serve(listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
@@ -63,7 +64,7 @@
 func (c *crashingTarget) serve(listener net.Listener) {
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.Contains(r.URL.Path, "deadly") {
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(c.delay)
 			c.crash()
 			panic(http.ErrAbortHandler)
 		}
@@ -102,7 +103,7 @@
 	var targets []*crashingTarget
 	join := func() {
 		node := startNode(t, url, "stock", countStock)
-		nodes, targets = append(nodes, node), append(targets, startCrashingTarget(t, node, "stock"))
+		nodes, targets = append(nodes, node), append(targets, startCrashingTarget(t, node, "stock", 10*time.Millisecond))
 	}
 	for range 3 {
 		join()
@@ -145,6 +146,36 @@
 	})
 }
 
+// Guards against a call that crashes target after target and is never suspect, since its caller has
+// left by then: no connection breaks that would show the crash.
+func TestCallWhoseCallerLeavesIsHeldBack(t *testing.T) {
+	fake, url := newFakePlatform(t)
+	fake.put(ConfigKey, []byte(testInventory))
+	node := startNode(t, url, "stock", countStock)
+	target := startCrashingTarget(t, node, "stock", 300*time.Millisecond)
+	until(t, "the node serves", func() (bool, any) {
+		r := node.call("stock/count/innocent")
+		return r.body == "12 chairs", r
+	})
+	Convey("After three crashes the call is refused", t, func() {
+		for range 6 {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.agent.callAddress()+"/call/stock/count/deadly", nil)
+			So(err, ShouldBeNil)
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_ = response.Body.Close()
+			}
+			cancel()
+			time.Sleep(400*time.Millisecond + crashRestart)
+			until(t, "the target is back", func() (bool, any) {
+				r := node.call("stock/count/innocent")
+				return r.status == http.StatusOK, r
+			})
+		}
+		So(target.count(), ShouldEqual, 3)
+	})
+}
+
 func TestReportsOfOtherNodes(t *testing.T) {
 	fake, url := newFakePlatform(t)
 	fake.put(ConfigKey, []byte(testInventory))
