--- a/node/crash.go
+++ b/node/crash.go
@@ -129,13 +129,13 @@
 	if !d.pool.HasEnded(ctx) {
 		return false
 	}
-	return d.reportEnd(r.target)
+	return d.reportEnd(r.target, "connection-refused")
 }
 
 // reportEnd records that the process of an incarnation of the target has ended, and reports it to
-// peers if that is a crash. The lock for checks is held.
-func (d *delivery) reportEnd(target roster.Target) (isCrash bool) {
-	crash, isCrash := d.recordEnd(target)
+// peers if that is a crash. sign is what showed the end, for the log. The lock for checks is held.
+func (d *delivery) reportEnd(target roster.Target, sign string) (isCrash bool) {
+	crash, isCrash := d.recordEnd(target, sign)
 	if isCrash {
 		crash.Suspects = d.tables.mostSuspicious(crash.Suspects)
 		d.onCrash(crash)
@@ -153,14 +153,14 @@
 	unexplained := len(d.runsInFlight(before)) > 0
 	d.mu.Unlock()
 	if unexplained {
-		d.reportEnd(before)
+		d.reportEnd(before, "next-incarnation")
 	}
 }
 
 // recordEnd records that the process of an incarnation of the target has ended. The end is
 // a crash unless the target was leaving. What was in flight and hasn't completed elsewhere a
 // moment ago is suspect.
-func (d *delivery) recordEnd(target roster.Target) (crash quarantine.Crash, isCrash bool) {
+func (d *delivery) recordEnd(target roster.Target, sign string) (crash quarantine.Crash, isCrash bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
@@ -171,7 +171,7 @@
 	for _, r := range inFlight {
 		r.ended, r.crashed = true, isCrash
 	}
-	d.log.targetEnded(&target, !isCrash, inFlight, now)
+	d.log.targetEnded(&target, sign, !isCrash, inFlight, now)
 	if !isCrash {
 		d.metrics.targetEnds.Add("planned", 1)
 		return crash, false
--- a/node/log.go
+++ b/node/log.go
@@ -63,7 +63,7 @@
 // targetEnded logs that the target's process has ended, and the calls that were in flight
 // there. They are in one line, because the many lines about calls that end with the target may
 // exceed the limit of lines.
-func (l decisionLog) targetEnded(target *roster.Target, planned bool, suspects []*run, now time.Time) {
+func (l decisionLog) targetEnded(target *roster.Target, sign string, planned bool, suspects []*run, now time.Time) {
 	calls := make([]suspectCall, len(suspects))
 	for i, s := range suspects {
 		calls[i] = suspectCall{
@@ -71,7 +71,7 @@
 			RanMs: now.Sub(s.writtenAt).Milliseconds(), Unfinished: s.unfinished,
 		}
 	}
-	l.Info("target ended", "target", target.ID, "born", target.Born, "planned", planned, "inFlight", calls)
+	l.Info("target ended", "target", target.ID, "born", target.Born, "sign", sign, "planned", planned, "inFlight", calls)
 }
 
 // suspectCall is a call that was in flight when its target ended, as it is logged.
