--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -5,7 +5,8 @@
 // the cause: many requests are in flight at the target, and targets crash for other reasons.
 //
 // Evidence comes from the nodes beside targets. A node whose target has crashed reports the
-// fingerprints of the requests that were in flight there; they are suspects. A request that runs
+// fingerprints of the requests that were in flight there, those included whose callers have left;
+// they are suspects. A request that runs
 // to a response afterwards, at a target with the software that crashed, refutes the evidence against
 // its fingerprint. At a target of another service or version it shows that this software bears the
 // request: then it runs at such targets freely, and stays a suspect for the others. All of these are
